--- /dev/null
+++ b/crates/benchlink/src/codec.rs
@@ -0,0 +1,105 @@
+//! Bytes of the wire: reading records, writing replies. Little-endian, no padding.
+
+/// What is wrong with the input, in one plain sentence.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Malformed(pub String);
+
+pub type Result<T> = std::result::Result<T, Malformed>;
+
+pub fn malformed<T>(what: impl Into<String>) -> Result<T> {
+    Err(Malformed(what.into()))
+}
+
+/// Reads fields one after the other; `what` names the record for complaints.
+pub struct Reader<'a> {
+    bytes: &'a [u8],
+    at: usize,
+    what: &'static str,
+}
+
+impl<'a> Reader<'a> {
+    pub fn new(bytes: &'a [u8], what: &'static str) -> Self {
+        Reader { bytes, at: 0, what }
+    }
+
+    pub fn take(&mut self, n: usize) -> Result<&'a [u8]> {
+        match self.at.checked_add(n).and_then(|end| self.bytes.get(self.at..end)) {
+            Some(part) => {
+                self.at += n;
+                Ok(part)
+            }
+            None => malformed(format!("{} ends at byte {}, short of a field", self.what, self.bytes.len())),
+        }
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N]> {
+        Ok(self.take(N)?.try_into().expect("take gives N bytes"))
+    }
+
+    pub fn u8(&mut self) -> Result<u8> {
+        Ok(self.array::<1>()?[0])
+    }
+
+    pub fn u16(&mut self) -> Result<u16> {
+        Ok(u16::from_le_bytes(self.array()?))
+    }
+
+    pub fn u32(&mut self) -> Result<u32> {
+        Ok(u32::from_le_bytes(self.array()?))
+    }
+
+    pub fn u64(&mut self) -> Result<u64> {
+        Ok(u64::from_le_bytes(self.array()?))
+    }
+
+    pub fn f32(&mut self) -> Result<f32> {
+        Ok(f32::from_le_bytes(self.array()?))
+    }
+
+    pub fn addr(&mut self) -> Result<[u8; 6]> {
+        self.array()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.at == self.bytes.len()
+    }
+
+    /// The next record: its code and fields.
+    pub fn record(&mut self) -> Result<(u8, &'a [u8])> {
+        let code = self.u8()?;
+        let len = self.u32()? as usize;
+        Ok((code, self.take(len)?))
+    }
+}
+
+/// A reply being written; the header is set by `finish`.
+pub struct Writer {
+    bytes: Vec<u8>,
+    records: u32,
+}
+
+impl Default for Writer {
+    fn default() -> Self {
+        Writer { bytes: vec![0; 8], records: 0 }
+    }
+}
+
+impl Writer {
+    /// One record out of its fields.
+    pub fn record(&mut self, code: u8, fields: &[&[u8]]) {
+        let len: usize = fields.iter().map(|f| f.len()).sum();
+        self.bytes.push(code);
+        self.bytes.extend_from_slice(&(len as u32).to_le_bytes());
+        for field in fields {
+            self.bytes.extend_from_slice(field);
+        }
+        self.records += 1;
+    }
+
+    pub fn finish(mut self) -> Vec<u8> {
+        let len = self.bytes.len() as u32;
+        self.bytes[..4].copy_from_slice(&self.records.to_le_bytes());
+        self.bytes[4..8].copy_from_slice(&len.to_le_bytes());
+        self.bytes
+    }
+}
--- /dev/null
+++ b/crates/benchlink/src/facts.rs
@@ -0,0 +1,220 @@
+//! The start settings: `path=value` lines into [`RolloutTerms`]. Keys it does not know are disregarded.
+
+use std::collections::HashMap;
+use std::str::FromStr;
+use std::time::Duration;
+
+use ivydrift::port::*;
+
+use crate::codec::{malformed, Result};
+
+/// What a start message says, and how load reports are laid out.
+pub struct Facts {
+    pub terms: RolloutTerms,
+    pub columns: Vec<String>,
+}
+
+struct Pairs<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Pairs<'a> {
+    fn text(&self, key: &str) -> Result<&'a str> {
+        match self.0.get(key) {
+            Some(value) => Ok(value),
+            None => malformed(format!("the start settings lack {key}")),
+        }
+    }
+
+    fn read<T: FromStr>(&self, key: &str) -> Result<T> {
+        let text = self.text(key)?;
+        match text.parse() {
+            Ok(value) => Ok(value),
+            Err(_) => malformed(format!("the start setting {key} cannot be read: {text:?}")),
+        }
+    }
+
+    /// A whole number, also where it is written with a fraction of zero.
+    fn whole(&self, key: &str) -> Result<u64> {
+        let value: f64 = self.number(key)?;
+        if value < 0.0 || value.fract() != 0.0 {
+            return malformed(format!("the start setting {key} is not a whole number: {value}"));
+        }
+        Ok(value as u64)
+    }
+
+    fn number(&self, key: &str) -> Result<f64> {
+        let value: f64 = self.read(key)?;
+        if !value.is_finite() {
+            return malformed(format!("the start setting {key} is not a number: {value}"));
+        }
+        Ok(value)
+    }
+
+    fn span(&self, key: &str) -> Result<Duration> {
+        Ok(Duration::from_micros(self.whole(key)?))
+    }
+
+    fn has(&self, key: &str) -> bool {
+        self.0.contains_key(key)
+    }
+
+    /// Reads an optional key; what is absent on the wire counts as zero.
+    fn number_or_zero(&self, key: &str) -> Result<f64> {
+        if self.has(key) {
+            self.number(key)
+        } else {
+            Ok(0.0)
+        }
+    }
+
+    fn flag(&self, key: &str) -> Result<bool> {
+        match self.0.get(key) {
+            None => Ok(false),
+            Some(&"true" | &"1") => Ok(true),
+            Some(&"false" | &"0") => Ok(false),
+            Some(other) => malformed(format!("the start setting {key} is neither true nor false: {other:?}")),
+        }
+    }
+
+    fn words(&self, key: &str) -> Vec<&'a str> {
+        self.0.get(key).map_or(Vec::new(), |v| v.split(',').filter(|w| !w.is_empty()).collect())
+    }
+
+    fn numbers(&self, key: &str) -> Result<Vec<f64>> {
+        self.text(key)?;
+        let read = |w: &&str| match w.parse::<f64>() {
+            Ok(value) if value.is_finite() => Ok(value),
+            _ => malformed(format!("the start setting {key} has a value that cannot be read: {w:?}")),
+        };
+        self.words(key).iter().map(read).collect()
+    }
+
+    fn count(&self, list: &str) -> Result<usize> {
+        let key = format!("{list}.count");
+        if self.has(&key) {
+            Ok(self.whole(&key)? as usize)
+        } else {
+            Ok(0)
+        }
+    }
+}
+
+pub fn read(salt: u64, text: &[u8]) -> Result<Facts> {
+    let Ok(text) = std::str::from_utf8(text) else {
+        return malformed("the start settings are not UTF-8");
+    };
+    let mut pairs = HashMap::new();
+    for line in text.lines().filter(|line| !line.trim().is_empty()) {
+        match line.split_once('=') {
+            Some((key, value)) => pairs.insert(key, value),
+            None => return malformed(format!("a line of the start settings has no '=': {line:?}")),
+        };
+    }
+    let p = Pairs(pairs);
+    let methods = (0..p.count("request_classes")?).map(|i| method(&p, i)).collect::<Result<Vec<_>>>()?;
+    if methods.is_empty() {
+        return malformed("the start settings name no request_classes");
+    }
+    let tenants = (0..p.count("tenants")?)
+        .map(|i| {
+            Ok(TenantTerms {
+                quota: p.number_or_zero(&format!("tenants.{i}.quota_per_s"))?,
+                share: p.number_or_zero(&format!("tenants.{i}.share"))?,
+            })
+        })
+        .collect::<Result<Vec<_>>>()?;
+    let retry_after =
+        if p.flag("bounds.retry_after")? { Some(p.span("bounds.max_retry_after")?) } else { None };
+    let asked = match p.text("discovery")? {
+        "subscribe" => true,
+        "automatic" => false,
+        other => return malformed(format!("the start setting discovery is neither known mode: {other:?}")),
+    };
+    let terms = RolloutTerms {
+        seed: salt,
+        marshal: p.whole("slot_no")? as usize,
+        marshals: p.whole("siblings")? as usize,
+        zone: p.number_or_zero("zone")? as usize,
+        ask_discovery: asked,
+        methods,
+        tenants,
+        over_share_utility: p.number_or_zero("over_share_worth")?,
+        kinds: p.words("models").len(),
+        release: release(&p)?,
+        rules: RuleTerms {
+            drain_grace: p.span("rules.drain_grace")?,
+            cold_from: p.number("rules.cold_from")?,
+            warm_within: p.span("rules.warm_within")?,
+            fall_multiple: p.number("rules.fall_multiple")?,
+            fall_window: p.span("rules.fall")?,
+            ask_within: Duration::from_micros(p.number_or_zero("rules.ask_within")? as u64),
+        },
+        limits: LimitTerms {
+            most_picks: p.whole("bounds.most_tries")? as usize,
+            second_copies: p.flag("bounds.second_copies")?,
+            cancel: p.flag("bounds.cancel")?,
+            probes: p.flag("bounds.probes")?,
+            peers: p.flag("bounds.peers")?,
+            retry_after,
+        },
+    };
+    Ok(Facts { terms, columns: p.words("load_report.columns").into_iter().map(str::to_owned).collect() })
+}
+
+fn method(p: &Pairs, i: usize) -> Result<MethodTerms> {
+    let key = |name: &str| format!("request_classes.{i}.{name}");
+    let repeat = match p.text(&key("idempotency"))? {
+        "retryable" => Repeat::Idempotent,
+        "fragile" => Repeat::NonIdempotent,
+        "dedup" => Repeat::Tokened {
+            group: match p.text(&key("group"))? {
+                "all" => Group::All,
+                "zone" => Group::Zone,
+                "cell" => Group::Cell,
+                other => return malformed(format!("the group of class {i} is unknown: {other:?}")),
+            },
+            window: p.span(&key("repeat_window"))?,
+        },
+        other => return malformed(format!("the idempotency of class {i} is unknown: {other:?}")),
+    };
+    Ok(MethodTerms {
+        repeat,
+        soft_deadline: p.span(&key("objective"))?,
+        stretch: p.number_or_zero(&key("aim_stretch"))?,
+        deadline: p.span(&key("give_up"))?,
+        utility: p.number(&key("value"))?,
+        late_utility: p.number_or_zero(&key("late_value"))?,
+        streamed: p.flag(&key("stream"))?,
+    })
+}
+
+fn release(p: &Pairs) -> Result<ReleaseTerms> {
+    let key = |name: &str| format!("family_info.{name}");
+    let control = match p.text(&key("control"))? {
+        "any" | "share" => Control::Votes,
+        "timer" => Control::Clock,
+        other => return malformed(format!("the control of builds is unknown: {other:?}")),
+    };
+    let by_method = match p.text(&key("counts"))? {
+        "all" => false,
+        "class" => true,
+        other => return malformed(format!("the way exposure counts is unknown: {other:?}")),
+    };
+    Ok(ReleaseTerms {
+        control,
+        on_votes: p.whole(&key("on_votes"))? as usize,
+        back_votes: p.whole(&key("votes_to_revert"))? as usize,
+        shares: p.numbers(&key("shares"))?,
+        caps: p.numbers(&key("exposure_caps"))?,
+        window: p.span(&key("span"))?,
+        free: p.number(&key("free"))?,
+        by_method,
+        guarded_stages: p.number_or_zero(&key("safe_only_stages"))? as usize,
+        one_way: p.flag(&key("forward_only"))?,
+        in_place: p.text(&key("replace_mode"))? == "in_place",
+        bake: p.span(&key("min_dwell"))?,
+        vote_life: p.span(&key("vote_stands"))?,
+        vote_wait: p.span(&key("answer_wait"))?,
+        vote_rate: p.number(&key("api_rate"))?,
+        flag_share: p.number_or_zero(&key("flag_share"))?,
+    })
+}
--- /dev/null
+++ b/crates/benchlink/src/link.rs
@@ -0,0 +1,506 @@
+//! One host for many instances: batches in, replies out.
+
+use std::collections::{BTreeMap, HashMap};
+use std::mem;
+use std::time::Duration;
+
+use ivydrift::policy::Marshal;
+use ivydrift::port::*;
+
+use crate::codec::{malformed, Reader, Result, Writer};
+use crate::facts;
+
+type Addr = [u8; 6];
+
+/// An entry of a numbered list, as the wire has it.
+#[derive(Clone, Copy)]
+struct Row {
+    kind: u8,
+    power: f32,
+    cell: u16,
+    zone: u16,
+    readiness: u8,
+    started: u64,
+    addr: Addr,
+    build: f32,
+}
+
+#[derive(Default)]
+pub struct Host {
+    lists: HashMap<u32, Vec<Row>>,
+    instances: BTreeMap<u32, Instance>,
+}
+
+/// One marshal: its module and its own id tables.
+struct Instance {
+    marshal: Marshal,
+    columns: Vec<String>,
+    nodes: HashMap<Addr, NodeIx>,
+    addrs: Vec<Addr>,
+    rpcs: HashMap<u32, RpcIx>,
+    open: HashMap<RpcIx, OpenRpc>,
+    next_rpc: RpcIx,
+    ended: Vec<RpcIx>,
+    tenants: bool,
+    events: Vec<Event>,
+}
+
+struct OpenRpc {
+    xid: u32,
+    outstanding: usize,
+    ended: bool,
+}
+
+fn micros(us: u32) -> Duration {
+    Duration::from_micros(us.into())
+}
+
+fn wire_micros(span: Duration) -> [u8; 4] {
+    u32::try_from(span.as_micros()).unwrap_or(u32::MAX).to_le_bytes()
+}
+
+impl Host {
+    /// Answers one frame, header included.
+    pub fn batch(&mut self, frame: &[u8]) -> Result<Vec<u8>> {
+        let mut r = Reader::new(frame, "the frame");
+        let (records, len, now) = (r.u32()?, r.u32()?, r.u64()?);
+        if len as usize != frame.len() {
+            return malformed(format!("the header states {len} bytes, the frame has {}", frame.len()));
+        }
+        let mut on = None;
+        let mut told: Vec<u32> = Vec::new();
+        for i in 0..records {
+            let (code, fields) = r.record()?;
+            let mut f = Reader::new(fields, event_name(code));
+            match code {
+                14 => {
+                    let (number, list) = catalog(&mut f)?;
+                    self.lists.insert(number, list);
+                }
+                15 => on = Some(f.u32()?),
+                _ => {
+                    let Some(id) = on else {
+                        return malformed(format!("record {i} ({}) precedes any On", event_name(code)));
+                    };
+                    self.event(id, code, &mut f)?;
+                    if !told.contains(&id) {
+                        told.push(id);
+                    }
+                }
+            }
+        }
+        if !r.is_empty() {
+            return malformed(format!("bytes follow the {records} records that the header states"));
+        }
+        let mut reply = Writer::default();
+        told.sort_unstable();
+        for id in told {
+            if let Some(instance) = self.instances.get_mut(&id) {
+                instance.answer(id, Duration::from_micros(now), &mut reply)?;
+            }
+        }
+        Ok(reply.finish())
+    }
+
+    fn event(&mut self, id: u32, code: u8, f: &mut Reader) -> Result<()> {
+        match code {
+            1 => {
+                let salt = f.u64()?;
+                let len = f.u32()? as usize;
+                let facts = facts::read(salt, f.take(len)?)?;
+                self.instances.insert(id, Instance::new(facts));
+                return Ok(());
+            }
+            10 => {
+                self.instances.remove(&id);
+                return Ok(());
+            }
+            _ => {}
+        }
+        let Some(instance) = self.instances.get_mut(&id) else {
+            return malformed(format!("{} is for instance {id}, which has not started", event_name(code)));
+        };
+        if code == 2 {
+            let (scope, _version, number) = (f.u8()?, f.u64()?, f.u32()?);
+            let scope = match scope {
+                0 => Scope::Failed,
+                1 => Scope::Cached,
+                2 => Scope::Full,
+                3 => Scope::Delta,
+                other => return malformed(format!("Membership has the unknown scope {other}")),
+            };
+            let rows: &[Row] = match (scope, self.lists.get(&number)) {
+                (Scope::Failed, _) => &[],
+                (_, Some(rows)) => rows,
+                _ => return malformed(format!("Membership names list {number}, which was never sent")),
+            };
+            let nodes = rows.iter().map(|row| instance.entry(row)).collect::<Result<Vec<_>>>()?;
+            instance.events.push(Event::Nodes { scope, nodes });
+            return Ok(());
+        }
+        if let Some(event) = instance.read(code, f)? {
+            instance.events.push(event);
+        }
+        Ok(())
+    }
+}
+
+impl Instance {
+    fn new(facts: facts::Facts) -> Self {
+        Instance {
+            tenants: !facts.terms.tenants.is_empty(),
+            marshal: Marshal::new(&facts.terms),
+            columns: facts.columns,
+            nodes: HashMap::new(),
+            addrs: Vec::new(),
+            rpcs: HashMap::new(),
+            open: HashMap::new(),
+            next_rpc: 0,
+            ended: Vec::new(),
+            events: Vec::new(),
+        }
+    }
+
+    fn node(&mut self, addr: Addr) -> NodeIx {
+        let addrs = &mut self.addrs;
+        *self.nodes.entry(addr).or_insert_with(|| {
+            addrs.push(addr);
+            addrs.len() - 1
+        })
+    }
+
+    fn entry(&mut self, row: &Row) -> Result<NodeEntry> {
+        let readiness = match row.readiness {
+            0 => Readiness::Gone,
+            2 => Readiness::Draining,
+            3 => Readiness::Ready,
+            other => return malformed(format!("a list entry has the unknown readiness {other}")),
+        };
+        Ok(NodeEntry {
+            node: self.node(row.addr),
+            kind: row.kind.into(),
+            power: row.power.into(),
+            cell: row.cell.into(),
+            zone: row.zone.into(),
+            readiness,
+            started: (row.started > 0).then(|| Duration::from_micros(row.started)),
+            build: row.build as Build,
+        })
+    }
+
+    fn load(&self, f: &mut Reader) -> Result<Load> {
+        let mut load = Load::default();
+        for i in 0..f.u8()? {
+            let value = Some(f64::from(f.f32()?));
+            match self.columns.get(usize::from(i)).map(String::as_str) {
+                Some("concurrent") => load.in_flight = value,
+                Some("depth") => load.queue = value,
+                Some("load_share") => load.busy = value,
+                Some("mean_ms") => load.latency = value,
+                Some("tps") => load.rate = value,
+                Some("err_ps") => load.errors = value,
+                _ => {}
+            }
+        }
+        Ok(load)
+    }
+
+    fn end(&mut self, rpc: RpcIx) {
+        if let Some(open) = self.open.get_mut(&rpc) {
+            open.ended = true;
+            self.ended.push(rpc);
+        }
+    }
+
+    /// One event in the module's terms; none where it names an RPC long concluded.
+    fn read(&mut self, code: u8, f: &mut Reader) -> Result<Option<Event>> {
+        Ok(Some(match code {
+            3 => {
+                let (xid, method, tenant, key) = (f.u32()?, f.u8()?, f.u32()?, f.u64()?);
+                let (left, work, attrs) = (f.u32()?, f.u32()?, f.u16()?);
+                let rpc = self.next_rpc;
+                self.next_rpc = self.next_rpc.wrapping_add(1);
+                self.rpcs.insert(xid, rpc);
+                self.open.insert(rpc, OpenRpc { xid, outstanding: 0, ended: false });
+                Event::Rpc {
+                    rpc,
+                    method: method.into(),
+                    tenant: self.tenants.then_some(tenant as usize),
+                    key: (key != 0).then_some(key),
+                    left: micros(left),
+                    work: (attrs & 1 != 0).then(|| micros(work)),
+                    repeated: attrs & 2 != 0,
+                }
+            }
+            4 => {
+                let (xid, pick, addr, took) = (f.u32()?, f.u8()?, f.addr()?, f.u32()?);
+                let node = self.node(addr);
+                let Some(&rpc) = self.rpcs.get(&xid) else { return Ok(None) };
+                Event::StreamBegun { rpc, pick: pick.into(), node, took: micros(took) }
+            }
+            5 => {
+                let (xid, outcome, took, addr) = (f.u32()?, f.u16()?, f.u32()?, f.addr()?);
+                let (done, pick) = (f.u8()? != 0, f.u8()?);
+                let load = self.load(f)?;
+                let node = self.node(addr);
+                let outcome = read_outcome(outcome)?;
+                let Some(&rpc) = self.rpcs.get(&xid) else { return Ok(None) };
+                if let Some(open) = self.open.get_mut(&rpc) {
+                    open.outstanding = open.outstanding.saturating_sub(1);
+                }
+                let event = Event::PickEnded {
+                    rpc,
+                    pick: pick.into(),
+                    node,
+                    outcome,
+                    took: micros(took),
+                    done: done || self.open.get(&rpc).is_some_and(|open| open.ended),
+                    load,
+                };
+                if done || self.open.get(&rpc).is_some_and(|open| open.ended) {
+                    self.end(rpc);
+                }
+                event
+            }
+            6 => {
+                let Some(&rpc) = self.rpcs.get(&f.u32()?) else { return Ok(None) };
+                self.end(rpc);
+                Event::ClientLeft { rpc }
+            }
+            7 => Event::Timer { tag: f.u64()? },
+            8 => {
+                let (addr, outcome, took) = (f.addr()?, f.u16()?, f.u32()?);
+                let load = self.load(f)?;
+                let node = self.node(addr);
+                Event::Probed { node, outcome: read_outcome(outcome)?, took: micros(took), load }
+            }
+            9 => {
+                let from = f.u32()? as usize;
+                let len = f.u16()?;
+                Event::Peer { from, text: f.take(len.into())?.to_vec() }
+            }
+            11 => {
+                let (build, stage, course, reason) = (f.u16()?, f.u8()?, f.u8()?, f.u8()?);
+                let (result, cap, age) = (f.u16()?, f.f32()?, f.u32()?);
+                let course = match course {
+                    0 => Course::OnTrial,
+                    1 => Course::GoingBack,
+                    2 => Course::Released,
+                    3 => Course::Withdrawn,
+                    other => return malformed(format!("ReleaseState has the unknown course {other}")),
+                };
+                let reply = match (reason, result) {
+                    (0, _) => VoteReply::Unasked,
+                    (_, 10) => VoteReply::Counts,
+                    (_, 20) => VoteReply::Error,
+                    (_, 30) => VoteReply::Full,
+                    (_, 40) => VoteReply::Silent,
+                    (_, 80) => VoteReply::Moot,
+                    (_, other) => return malformed(format!("ReleaseState has the unknown result {other}")),
+                };
+                Event::Stage {
+                    build: build.into(),
+                    stage: stage.into(),
+                    course,
+                    reply,
+                    cap: cap.into(),
+                    age: micros(age),
+                }
+            }
+            12 => {
+                let (build, method, picks) = (f.u16()?, f.u8()?, f.u32()?);
+                let (failed, mean, age) = (f.u32()?, f.u32()?, f.u32()?);
+                Event::Sums {
+                    build: build.into(),
+                    method: method.into(),
+                    picks,
+                    failed,
+                    mean: micros(mean),
+                    age: micros(age),
+                }
+            }
+            13 => {
+                let (addr, age, method) = (f.addr()?, f.u32()?, f.u8()?);
+                Event::Disputed { node: self.node(addr), method: method.into(), age: micros(age) }
+            }
+            other => return malformed(format!("a record has the unknown code {other}")),
+        }))
+    }
+
+    fn answer(&mut self, id: u32, now: Duration, reply: &mut Writer) -> Result<()> {
+        let actions = self.marshal.handle(now, mem::take(&mut self.events));
+        if !actions.is_empty() {
+            reply.record(14, &[&id.to_le_bytes()]);
+        }
+        for action in actions {
+            self.write(&action, reply);
+        }
+        for rpc in mem::take(&mut self.ended) {
+            if self.open.get(&rpc).is_some_and(|open| open.outstanding == 0) {
+                if let Some(open) = self.open.remove(&rpc) {
+                    self.rpcs.remove(&open.xid);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn xid(&self, rpc: RpcIx) -> Option<[u8; 4]> {
+        self.open.get(&rpc).map(|open| open.xid.to_le_bytes())
+    }
+
+    fn write(&mut self, action: &Action, reply: &mut Writer) {
+        match action {
+            Action::Pick { rpc, node, within } => {
+                let Some(xid) = self.xid(*rpc) else { return };
+                reply.record(1, &[&xid, &self.addrs[*node], &wire_micros(*within)]);
+                if let Some(open) = self.open.get_mut(rpc) {
+                    open.outstanding += 1;
+                }
+            }
+            Action::PushBack { rpc, retry_after } => {
+                let Some(xid) = self.xid(*rpc) else { return };
+                reply.record(2, &[&xid, &wire_micros(retry_after.unwrap_or_default())]);
+                self.end(*rpc);
+            }
+            Action::Abort { rpc } => {
+                let Some(xid) = self.xid(*rpc) else { return };
+                reply.record(3, &[&xid]);
+                self.end(*rpc);
+            }
+            Action::Cancel { rpc, pick } => {
+                let Some(xid) = self.xid(*rpc) else { return };
+                reply.record(4, &[&xid, &[*pick as u8]]);
+            }
+            Action::Wake { after, tag } => {
+                reply.record(5, &[&wire_micros(*after), &tag.to_le_bytes()]);
+            }
+            Action::Probe { node } => reply.record(6, &[&self.addrs[*node]]),
+            Action::CloseIdle { node } => reply.record(7, &[&self.addrs[*node]]),
+            Action::Tell { to, text } => {
+                let to = to.map_or(u16::MAX, |n| n as u16);
+                reply.record(8, &[&to.to_le_bytes(), &(text.len() as u16).to_le_bytes(), text]);
+            }
+            Action::Log(line) => {
+                reply.record(9, &[&(line.len() as u16).to_le_bytes(), line.as_bytes()]);
+            }
+            Action::Subscribe(on) => reply.record(11, &[&[u8::from(*on)]]),
+            Action::FetchList => reply.record(12, &[]),
+            Action::Vote { verdict, stage, build } => {
+                let reason = match verdict {
+                    Verdict::None => 0u8,
+                    Verdict::On => 1,
+                    Verdict::Hold => 2,
+                    Verdict::Back => 3,
+                };
+                reply.record(13, &[&[reason, *stage as u8], &(*build as u16).to_le_bytes()]);
+            }
+        }
+    }
+}
+
+fn catalog(f: &mut Reader) -> Result<(u32, Vec<Row>)> {
+    let (number, n) = (f.u32()?, f.u32()?);
+    let row = |f: &mut Reader| -> Result<Row> {
+        Ok(Row {
+            kind: f.u8()?,
+            power: f.f32()?,
+            cell: f.u16()?,
+            zone: f.u16()?,
+            readiness: f.u8()?,
+            started: f.u64()?,
+            addr: f.addr()?,
+            build: f.f32()?,
+        })
+    };
+    Ok((number, (0..n).map(|_| row(f)).collect::<Result<_>>()?))
+}
+
+fn read_outcome(code: u16) -> Result<Outcome> {
+    Ok(match code {
+        10 => Outcome::Ok,
+        20 => Outcome::Error,
+        30 => Outcome::Full,
+        40 => Outcome::Timeout,
+        50 => Outcome::NoConnection,
+        60 => Outcome::Reset,
+        70 => Outcome::Cancelled,
+        80 => Outcome::Moot,
+        other => return malformed(format!("an outcome is unknown: {other}")),
+    })
+}
+
+fn event_name(code: u8) -> &'static str {
+    match code {
+        1 => "Boot",
+        2 => "Membership",
+        3 => "Query",
+        4 => "Flowing",
+        5 => "Completed",
+        6 => "Vanished",
+        7 => "Timer",
+        8 => "Pong",
+        9 => "PeerData",
+        10 => "Halt",
+        11 => "ReleaseState",
+        12 => "PeriodSums",
+        13 => "Disputed",
+        14 => "Catalog",
+        15 => "On",
+        _ => "a record of unknown code",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn bytes(hex: &str) -> Vec<u8> {
+        let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
+        let byte = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap();
+        digits.chunks(2).map(byte).collect()
+    }
+
+    #[test]
+    fn an_empty_batch_gets_an_empty_reply() {
+        let reply = Host::default().batch(&bytes("00000000 10000000 5a5c800000000000")).unwrap();
+        assert_eq!(reply, bytes("00000000 08000000"));
+    }
+
+    #[test]
+    fn lists_are_read_as_the_wire_page_shows_them() {
+        let fields = bytes(
+            "00000000 02000000 00 0000803f 0000 0000 03 0000000000000000 0a124a07 8b13 00002442
+             00 0000c03f 0000 0100 03 20145d0000000000 0a9011f2 b413 00002842",
+        );
+        let (number, rows) = catalog(&mut Reader::new(&fields, "Catalog")).unwrap();
+        assert_eq!((number, rows.len()), (0, 2));
+        assert_eq!((rows[0].power, rows[0].build, rows[0].started), (1.0, 41.0, 0));
+        assert_eq!((rows[1].power, rows[1].build, rows[1].zone), (1.5, 42.0, 1));
+        assert_eq!((rows[1].started, rows[1].addr), (6_100_000, [0x0a, 0x90, 0x11, 0xf2, 0xb4, 0x13]));
+    }
+
+    #[test]
+    fn actions_are_written_as_the_wire_page_shows_them() {
+        let mut w = Writer::default();
+        w.record(13, &[&[1, 2], &42u16.to_le_bytes()]);
+        assert_eq!(w.finish()[8..], bytes("0d 04000000 01 02 2a00"));
+        let mut w = Writer::default();
+        w.record(5, &[&wire_micros(Duration::from_millis(500)), &77u64.to_le_bytes()]);
+        assert_eq!(w.finish()[8..], bytes("05 0c000000 20a10700 4d00000000000000"));
+    }
+
+    #[test]
+    fn what_is_malformed_is_said_plainly() {
+        let say = |hex: &str| Host::default().batch(&bytes(hex)).unwrap_err().0;
+        let early = say("01000000 1d000000 0000000000000000 07 08000000 4d00000000000000");
+        assert!(early.contains("precedes any On"), "{early}");
+        let unknown =
+            say("02000000 26000000 0000000000000000 0f 04000000 03000000 07 08000000 4d00000000000000");
+        assert!(unknown.contains("instance 3, which has not started"), "{unknown}");
+        let short = say("01000000 17000000 0000000000000000 0f 02000000 0300");
+        assert!(short.contains("On ends at byte 2"), "{short}");
+        let facts = facts::read(1, b"siblings=x\nrequest_classes.count=0\n").err().unwrap().0;
+        assert!(facts.contains("request_classes"), "{facts}");
+    }
+}
--- /dev/null
+++ b/crates/benchlink/src/main.rs
@@ -0,0 +1,64 @@
+//! Carries the bench's wire to the decision module and back: frames, codec and the mapping of wire ids to
+//! small indices. Each instance has a module, tables and a start of its own; nothing is shared but the
+//! numbered lists, which the wire defines for the whole process.
+#![forbid(unsafe_code)]
+
+mod codec;
+mod facts;
+mod link;
+
+use std::io::{self, Read, Write};
+
+use codec::Malformed;
+
+fn main() {
+    if let Err(Malformed(what)) = serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
+        eprintln!("ivydrift-benchlink: {what}.");
+        std::process::exit(1);
+    }
+}
+
+fn serve(input: &mut impl Read, output: &mut impl Write) -> codec::Result<()> {
+    let mut host = link::Host::default();
+    let mut frame = Vec::new();
+    let mut frames = 0u64;
+    loop {
+        let located = |Malformed(what)| Malformed(format!("frame {frames}: {what}"));
+        if !read_frame(input, &mut frame).map_err(located)? {
+            return Ok(());
+        }
+        let reply = host.batch(&frame).map_err(located)?;
+        if let Err(e) = output.write_all(&reply).and_then(|()| output.flush()) {
+            return codec::malformed(format!("frame {frames}: the reply cannot be written: {e}"));
+        }
+        frames += 1;
+    }
+}
+
+/// Reads one frame, its length prefix checked; false at a clean end of input.
+fn read_frame(input: &mut impl Read, frame: &mut Vec<u8>) -> codec::Result<bool> {
+    frame.clear();
+    read_up_to(input, frame, 16)?;
+    if frame.is_empty() {
+        return Ok(false);
+    }
+    if frame.len() < 16 {
+        return codec::malformed(format!("input ends after {} bytes of a 16-byte header", frame.len()));
+    }
+    let len = u32::from_le_bytes(frame[4..8].try_into().expect("four bytes")) as usize;
+    if len < 16 {
+        return codec::malformed(format!("the header states a length of {len}, less than its own 16 bytes"));
+    }
+    read_up_to(input, frame, len)?;
+    if frame.len() < len {
+        return codec::malformed(format!("input ends after {} of {len} bytes", frame.len()));
+    }
+    Ok(true)
+}
+
+fn read_up_to(input: &mut impl Read, frame: &mut Vec<u8>, len: usize) -> codec::Result<()> {
+    match input.take((len - frame.len()) as u64).read_to_end(frame) {
+        Ok(_) => Ok(()),
+        Err(e) => codec::malformed(format!("input cannot be read: {e}")),
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! ivydrift decides, on each marshal by itself, how a new build is tried on live traffic.
+//!
+//! [`policy::Marshal`] holds every decision; [`port`] is the plain-typed interface to it. Neither does IO,
+//! reads a clock or knows a wire, so that the bench's adapter and a real marshal can drive the same module.
+#![forbid(unsafe_code)]
+
+pub mod policy;
+pub mod port;
