--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,5 +1,5 @@
 //! All decisions of one marshal. Made by `Marshal::new(&terms)`, then called as `handle(now, events) -> actions`
-//! whenever something has happened; the plain-typed interface is in `port.rs`, the reasons in `docs/design.md`.
+//! when something has happened; the interface is in `port.rs`, the reasons are in `docs/design.md`.
 //! Each node is a small actor; front (RPCs), judge (builds, votes) and scout (the list) are the other parts.
 //! They talk only by notes in inboxes, which the loop in `Marshal::settle` empties: nodes first, front last.
 
@@ -10,8 +10,9 @@
 
 use crate::port::*;
 
-/// The heartbeat: waits, silences and verdicts are looked at this often.
+/// Waits and silences are looked at every beat, verdicts every look.
 const BEAT: Duration = Duration::from_millis(20);
+const LOOK: Duration = Duration::from_millis(100);
 const ALPHA: f64 = 2.0;
 const DELTA: f64 = 0.05;
 const LEAST_SAMPLE: f64 = 10.0;
@@ -25,15 +26,20 @@
 const STAGE_LATEST: Duration = Duration::from_secs(9);
 /// Records are halved this often, so that trouble which starts late shows.
 const HALVE: Duration = Duration::from_secs(5);
-/// Margins by which the new arm must be worse: payoff (the design's), soundness, pace.
-const MARGIN: [f64; 3] = [0.05, 0.01, 0.15];
+/// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
+const MARGIN: [f64; 4] = [0.05, 0.01, 0.15, 0.25];
 /// A node failing more than this share of its outcomes is suspect itself, whatever its build.
 const SUSPECT: f64 = 0.3;
+/// Peers' counts older than this say nothing.
+const FRESH: Duration = Duration::from_secs(3);
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
 const COLD_PART: f64 = 0.75;
-/// Further picks that may have run, earned per RPC taken.
-const RETRY_EARN: f64 = 0.2;
-const RETRY_MOST: f64 = 20.0;
+/// Repeats of picks that may have run: earned per RPC taken, and the most in store.
+const RETRIES: [f64; 2] = [0.2, 20.0];
+/// A node's first limit on own picks in flight.
+const FIRST_LIMIT: f64 = 4.0;
+/// An RPC is given up when fewer than this many usual times are left before its soft deadline.
+const SPARE: f64 = 1.5;
 const BINS: usize = 16;
 
 fn secs(s: f64) -> Duration {
@@ -46,134 +52,157 @@
     (2.0 * var / n * (3.0 * n.ln().powi(2) / DELTA).ln()).sqrt()
 }
 
-/// A two-bin histogram: outcomes, and those that paid.
-#[derive(Clone, Copy, Default, Debug, PartialEq)]
+/// A two-bin histogram: all outcomes, and those that paid.
+#[derive(Clone, Copy, Default)]
 struct Tally {
     n: f64,
     good: f64,
 }
 
 impl Tally {
-    fn add(&mut self, other: Tally) {
-        self.n += other.n;
-        self.good += other.good;
-    }
-    fn book(&mut self, good: bool) {
-        self.add(Tally { n: 1.0, good: f64::from(u8::from(good)) });
-    }
-    fn halve(&mut self) {
-        *self = Tally { n: self.n / 2.0, good: self.good / 2.0 };
+    fn add(&mut self, other: Tally, part: f64) {
+        *self = Tally { n: self.n + part * other.n, good: self.good + part * other.good };
     }
     fn mean(&self) -> f64 {
-        if self.n > 0.0 {
-            self.good / self.n
-        } else {
-            1.0
-        }
+        self.good / self.n.max(1e-9)
     }
     /// mean + α·ε, with the design's σ² of 1/4; an arm short of the least sample ranks first.
     fn index(&self) -> f64 {
-        if self.n < LEAST_SAMPLE {
-            f64::INFINITY
-        } else {
-            self.mean() + ALPHA * width(self.n, 0.25)
-        }
+        self.mean() + if self.n < LEAST_SAMPLE { f64::INFINITY } else { ALPHA * width(self.n, 0.25) }
     }
 }
 
-/// How far the new arm lies below the old one on one ledger.
-#[derive(Clone, Copy, PartialEq, PartialOrd, Debug)]
-enum Stand {
-    Better,
-    Open,
-    Leans,
-    Worse,
+/// New and old arm on one question.
+type Pair = [Tally; 2];
+
+fn join(a: &mut Pair, b: &Pair) {
+    a.iter_mut().zip(b).for_each(|(a, b)| a.add(*b, 1.0));
 }
 
-fn stand(new: Tally, old: Tally, margin: f64) -> Stand {
-    if new.n < LEAST_SAMPLE || old.n < LEAST_SAMPLE {
-        return Stand::Open;
-    }
-    // σ² is what the outcomes would have if the build were as good as the earlier one, plus one outcome's doubt.
-    let spread = old.mean() * (1.0 - old.mean());
-    let eps = |n: f64| width(n, (spread + 1.0 / n).min(0.25));
-    let (low, high) = (new.mean() + eps(new.n), old.mean() - eps(old.n) - margin);
-    if low < high {
-        Stand::Worse
-    } else if new.mean() - eps(new.n) > old.mean() + eps(old.n) {
-        Stand::Better
-    } else if new.mean() + eps(new.n) / 3.0 < old.mean() - margin {
-        Stand::Leans
-    } else {
-        Stand::Open
-    }
+/// Arm `a` lies below arm `b` by more than the margin and the given part of both widths. σ² is what outcomes
+/// would have if the new build paid as the older one does, plus one outcome's doubt.
+fn below(a: Tally, b: Tally, margin: f64, part: f64, spread: f64) -> bool {
+    let eps = |t: Tally| part * width(t.n, (spread + 1.0 / t.n).min(0.25));
+    a.n.min(b.n) >= LEAST_SAMPLE && a.mean() + eps(a) < b.mean() - eps(b) - margin
 }
 
-// ---- notes -------------------------------------------------------------------------------------------------
+/// The figures that decisions use, derived from the start terms.
+struct Charter {
+    duties: Vec<Duty>,
+    least_soft: f64,
+    exposure: Exposure,
+    most_picks: usize,
+    copies: bool,
+    retry_after: Option<Duration>,
+    cold_from: f64,
+    warming: Duration,
+    fall_window: Duration,
+    fall_budget: f64,
+    by_votes: bool,
+    shares: Vec<f64>,
+    vote_life: Duration,
+    vote_wait: Duration,
+    vote_gap: Duration,
+    peers: bool,
+    kinds: usize,
+    ask_pause: Option<f64>,
+    seed: u64,
+}
 
-enum ToNode {
-    Listed(NodeEntry),
-    Sent { rpc: RpcIx, pick: usize, at: Duration },
-    Ended { rpc: RpcIx, pick: usize, method: Option<usize>, outcome: Outcome, took: Duration },
-    Beat,
+/// What is owed to a method's RPCs.
+struct Duty {
+    repeat: Repeat,
+    soft: f64,
+    /// Earlier place among those that wait, for more utility.
+    head_start: Duration,
+    /// Where exposure counts this method.
+    slot: usize,
 }
 
-enum ToFront {
-    Taken { rpc: RpcIx, method: usize, tenant: Option<usize>, key: Option<u64>, left: Duration },
-    Ended { rpc: RpcIx, pick: usize, node: NodeIx, outcome: Outcome, took: Duration, done: bool },
-    Streaming(RpcIx),
-    Left(RpcIx),
-    Card(NodeIx, Card),
-    Favour { newest: Build, new_first: bool },
-    News(News),
-    Pump,
-    Beat,
+struct Exposure {
+    first_cap: f64,
+    window: Duration,
+    free: f64,
+    guarded: usize,
+    one_way: bool,
 }
 
-enum ToJudge {
-    Card(NodeIx, Card),
-    Booked { node: NodeIx, build: Build, method: usize, outcome: Outcome, took: Duration, age: Duration },
-    Disputed { node: NodeIx, method: usize, age: Duration },
-    News(News, VoteReply),
-    Sums { build: Build, method: usize, picks: f64, failed: f64 },
-    Peer { from: usize, text: Vec<u8> },
-    Beat,
+impl Charter {
+    fn new(terms: &RolloutTerms) -> Self {
+        let (release, rules, limits) = (&terms.release, &terms.rules, &terms.limits);
+        let mean = terms.methods.iter().map(|m| m.utility).sum::<f64>() / terms.methods.len() as f64;
+        let marshals = terms.marshals.max(1) as f64;
+        let duty = |(i, m): (usize, &MethodTerms)| {
+            let (soft, head_start) = (m.soft_deadline.as_secs_f64(), secs(0.2 * m.utility / mean));
+            Duty { repeat: m.repeat, soft, head_start, slot: if release.by_method { i } else { 0 } }
+        };
+        let duties: Vec<Duty> = terms.methods.iter().enumerate().map(duty).collect();
+        let (window, free, one_way) = (release.window, release.free, release.one_way);
+        let (first_cap, guarded) = (release.caps.first().copied().unwrap_or(0.0), release.guarded_stages);
+        Charter {
+            least_soft: duties.iter().map(|d| d.soft).fold(f64::INFINITY, f64::min),
+            duties,
+            exposure: Exposure { first_cap, window, free, guarded, one_way },
+            most_picks: limits.most_picks,
+            copies: limits.second_copies,
+            retry_after: limits.retry_after,
+            cold_from: rules.cold_from,
+            warming: rules.warm_within,
+            fall_window: rules.fall_window,
+            fall_budget: COLD_PART * rules.fall_multiple * rules.fall_window.as_secs_f64(),
+            by_votes: release.control == Control::Votes,
+            shares: release.shares.clone(),
+            vote_life: release.vote_life,
+            vote_wait: release.vote_wait,
+            vote_gap: secs((2.0 * marshals / release.vote_rate.max(0.1)).max(0.3)),
+            peers: limits.peers,
+            kinds: terms.kinds.max(1),
+            ask_pause: terms.ask_discovery.then(|| 1.0 + terms.marshal as f64 / marshals),
+            seed: terms.seed,
+        }
+    }
 }
 
-enum ToScout {
-    Answer(Scope),
+// ---- inboxes ---------------------------------------------------------------------------------------------
+
+const FRONT: usize = 0;
+const JUDGE: usize = 1;
+const SCOUT: usize = 2;
+const NODES: usize = 3;
+
+enum Note {
+    Told(Event),
+    Listed(NodeEntry),
+    Sent { rpc: RpcIx, pick: usize, method: usize },
+    Card(Card),
+    Booked { entry: NodeEntry, method: usize, outcome: Outcome, took: f64 },
+    Favour { newest: Build, new_first: bool },
+    Pump,
     Beat,
 }
 
-#[derive(Clone, Copy)]
-struct News {
-    build: Build,
-    stage: usize,
-    course: Course,
-    cap: f64,
-    age: Duration,
+/// What every part is handed: the hour, the law, the inboxes and what goes out.
+struct Cx {
+    now: Duration,
+    law: Charter,
+    boxes: Vec<VecDeque<Note>>,
+    out: Vec<Action>,
 }
 
-/// The inboxes, and what goes out.
-#[derive(Default)]
-struct Post {
-    nodes: Vec<VecDeque<ToNode>>,
-    front: VecDeque<ToFront>,
-    judge: VecDeque<ToJudge>,
-    scout: VecDeque<ToScout>,
-    out: Vec<Action>,
+impl Cx {
+    fn put(&mut self, to: usize, note: Note) {
+        self.boxes[to].push_back(note);
+    }
+    fn age(&self, entry: &NodeEntry) -> Duration {
+        entry.started.map_or(Duration::MAX, |at| self.now.saturating_sub(at))
+    }
 }
 
 /// What a node shows of itself.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Default)]
 struct Card {
+    entry: NodeEntry,
     ready: bool,
-    build: Build,
-    kind: usize,
-    cell: usize,
-    zone: usize,
-    power: f64,
-    started: Option<Duration>,
     in_flight: usize,
     limit: f64,
     /// Expected time of one RPC here, in seconds, worse for a failing node.
@@ -182,306 +211,230 @@
     gentle: bool,
 }
 
-impl Card {
-    fn age(&self, now: Duration) -> Duration {
-        self.started.map_or(Duration::MAX, |at| now.saturating_sub(at))
-    }
-}
-
-// ---- node --------------------------------------------------------------------------------------------------
+// ---- node ------------------------------------------------------------------------------------------------
 
+#[derive(Default)]
 struct Node {
-    ix: NodeIx,
     card: Card,
-    out: Vec<(RpcIx, usize, Duration, Build)>,
+    out: Vec<(RpcIx, usize, usize, Duration, NodeEntry)>,
     heard: Duration,
+    cut: Duration,
     ill: f64,
     rests: u32,
     rest_until: Duration,
     took: f64,
-    soft: Vec<f64>,
 }
 
 impl Node {
-    fn new(ix: NodeIx, soft: &[f64]) -> Self {
-        let took = soft.iter().copied().fold(f64::INFINITY, f64::min) / 6.0;
-        let card = Card {
-            ready: false,
-            build: 0,
-            kind: 0,
-            cell: 0,
-            zone: 0,
-            power: 1.0,
-            started: None,
-            in_flight: 0,
-            limit: 4.0,
-            pace: took,
-            resting: false,
-            gentle: false,
-        };
-        let (out, soft) = (Vec::new(), soft.to_vec());
-        Node {
-            ix,
-            card,
-            out,
-            heard: Duration::ZERO,
-            ill: 0.0,
-            rests: 0,
-            rest_until: Duration::ZERO,
-            took,
-            soft,
-        }
-    }
-
-    fn act(&mut self, now: Duration, note: ToNode, post: &mut Post) {
+    fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
-            ToNode::Listed(e) => {
-                let fresh = e.started != self.card.started || e.build != self.card.build;
-                if fresh {
+            Note::Listed(entry) => {
+                if (entry.started, entry.build) != (self.card.entry.started, self.card.entry.build) {
                     // A new process: what the earlier one did says nothing of it.
-                    (self.ill, self.rests, self.rest_until) = (0.0, 0, Duration::ZERO);
-                    self.card.limit = 4.0;
+                    let out = std::mem::take(&mut self.out);
+                    *self = Node { out, took: cx.law.least_soft / 6.0, ..Node::default() };
+                    self.card.limit = FIRST_LIMIT;
                 }
-                let ready = e.readiness == Readiness::Ready;
-                self.card = Card {
-                    ready,
-                    build: e.build,
-                    kind: e.kind,
-                    cell: e.cell,
-                    zone: e.zone,
-                    started: e.started,
-                    power: if e.power > 0.0 { e.power } else { 1.0 },
-                    ..self.card
-                };
+                (self.card.ready, self.card.entry) = (entry.readiness == Readiness::Ready, entry);
             }
-            ToNode::Sent { rpc, pick, at } => self.out.push((rpc, pick, at, self.card.build)),
-            ToNode::Ended { rpc, pick, method, outcome, took } => {
-                let Some(i) = self.out.iter().position(|o| o.0 == rpc && o.1 == pick) else { return };
-                let (.., build) = self.out.swap_remove(i);
-                self.learn(now, method, outcome, took.as_secs_f64());
-                if let (Some(method), true) = (method, build == self.card.build) {
-                    let (node, age) = (self.ix, self.card.age(now));
-                    post.judge.push_back(ToJudge::Booked { node, build, method, outcome, took, age });
+            Note::Sent { rpc, pick, method } => self.out.push((rpc, pick, method, cx.now, self.card.entry)),
+            Note::Told(Event::PickEnded { rpc, pick, outcome, took, .. }) => {
+                if let Some(i) = self.out.iter().position(|o| (o.0, o.1) == (rpc, pick)) {
+                    let ((.., method, _, entry), took) = (self.out.swap_remove(i), took.as_secs_f64());
+                    self.learn(cx.now, cx.law.duties[method].soft, outcome, took);
+                    cx.put(JUDGE, Note::Booked { entry, method, outcome, took });
                 }
             }
-            ToNode::Beat => {}
+            _ => {}
         }
-        self.show(now, post);
+        // Silence: the oldest pick is overdue and nothing has been heard since it went out.
+        let soft = cx.law.least_soft;
+        let patience = secs((5.0 * self.took).clamp(0.3 * soft, 0.6 * soft));
+        let oldest = self.out.iter().map(|o| o.3).min();
+        let silent = oldest.is_some_and(|at| cx.now > at + patience && self.heard < at);
+        self.card.in_flight = self.out.len();
+        self.card.resting = silent || cx.now < self.rest_until;
+        self.card.gentle = self.rests > 0;
+        self.card.pace = self.took * (1.0 + 4.0 * self.ill);
+        cx.boxes[FRONT].push_front(Note::Card(self.card));
+        cx.put(JUDGE, Note::Card(self.card));
     }
 
     /// Health from own outcomes alone: failures rest the node for growing spans, then it is tried gently.
     /// Guards against dead, silent and quickly failing nodes alike; hurts when a build fails everywhere, for
-    /// which the front looks past rests once most nodes of the fleet rest.
-    fn learn(&mut self, now: Duration, method: Option<usize>, outcome: Outcome, took: f64) {
+    /// which the front looks past rests once most nodes rest.
+    fn learn(&mut self, now: Duration, soft: f64, outcome: Outcome, took: f64) {
         let failed = match outcome {
             Outcome::Ok => 0.0,
-            Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::NoConnection => 1.0,
-            Outcome::Full => {
-                // Turned away unseen: the node is full, not ill.
-                self.card.limit = (self.card.in_flight as f64 * 0.7).max(1.0);
-                return;
-            }
+            Outcome::Error | Outcome::Timeout => 1.0,
+            Outcome::Reset | Outcome::NoConnection => 2.0,
+            // Turned away unseen: the node is full, not ill.
+            Outcome::Full => return self.card.limit = (self.card.in_flight as f64 * 0.7).max(1.0),
             Outcome::Cancelled | Outcome::Moot => return,
         };
         if outcome != Outcome::Timeout {
             self.heard = now;
         }
         self.ill += 0.2 * (failed - self.ill);
-        if matches!(outcome, Outcome::NoConnection | Outcome::Reset) {
-            self.ill = self.ill.max(0.45);
-        }
         if failed > 0.0 && self.ill > 0.4 && now >= self.rest_until {
             self.rest_until = now + secs(0.5 * f64::from(1 << self.rests.min(3)));
-            self.rests += 1;
-            self.ill = 0.3;
+            (self.rests, self.ill) = (self.rests + 1, 0.3);
         } else if self.ill < 0.1 {
             self.rests = 0;
         }
-        let soft = method.map_or(self.soft[0], |m| self.soft[m]);
         if outcome == Outcome::Ok {
             self.took += 0.15 * (took - self.took);
-            // Answers slower than half the soft deadline mean a queue: send less; quick ones at the limit, more.
-            if took > 0.55 * soft {
-                self.card.limit = (self.card.limit * 0.9).max(1.0);
-            } else if self.card.in_flight as f64 > 0.6 * self.card.limit {
-                self.card.limit += 1.0 / self.card.limit;
-            }
-        } else if outcome == Outcome::Timeout {
-            self.card.limit = (self.card.limit * 0.8).max(1.0);
+        }
+        // Slow answers mean a queue: send less, once a round trip; quick ones near the limit, more.
+        let slow = outcome == Outcome::Timeout || took > 0.55 * soft;
+        if slow && now > self.cut + secs(took) {
+            (self.card.limit, self.cut) = ((self.card.limit * 0.8).max(1.0), now);
+        } else if !slow && failed == 0.0 && self.out.len() as f64 > 0.6 * self.card.limit - 1.0 {
+            self.card.limit += 1.0 / self.card.limit;
         }
     }
+}
 
-    fn show(&mut self, now: Duration, post: &mut Post) {
-        // Silence: the oldest pick is overdue and nothing has been heard since it went out.
-        let soft = self.soft.iter().copied().fold(f64::INFINITY, f64::min);
-        let patience = secs((5.0 * self.took).clamp(0.3 * soft, 0.6 * soft));
-        let oldest = self.out.iter().map(|o| o.2).min();
-        let silent = oldest.is_some_and(|at| now > at + patience && self.heard < at);
-        self.card.in_flight = self.out.len();
-        self.card.resting = silent || now < self.rest_until;
-        self.card.gentle = self.rests > 0;
-        self.card.pace = self.took * (1.0 + 4.0 * self.ill);
-        post.front.push_front(ToFront::Card(self.ix, self.card));
-        post.judge.push_back(ToJudge::Card(self.ix, self.card));
+// ---- gate: the one place that every send passes ----------------------------------------------------------
+
+#[derive(Clone, Copy)]
+struct News {
+    build: Build,
+    stage: usize,
+    course: Course,
+    cap: f64,
+    launched: Duration,
+}
+
+impl News {
+    fn read(cx: &Cx, event: &Event) -> Option<(News, VoteReply)> {
+        let &Event::Stage { build, stage, course, reply, cap, age } = event else { return None };
+        Some((News { build, stage, course, cap, launched: cx.now.saturating_sub(age) }, reply))
     }
 }
 
-// ---- gate: the one place that every send passes --------------------------------------------------------------
+type Times = VecDeque<Duration>;
 
+#[derive(Default)]
 struct Gate {
-    methods: Vec<Repeat>,
-    caps: Vec<f64>,
-    window: Duration,
-    free: f64,
-    by_method: bool,
-    guarded: usize,
-    one_way: bool,
-    most_picks: usize,
-    copies: bool,
-    cold_from: f64,
-    warm_within: Duration,
-    fall_window: Duration,
-    fall_budget: f64,
     news: Option<News>,
-    taken: Vec<VecDeque<Duration>>,
-    sent: BTreeMap<(Build, usize), VecDeque<Duration>>,
-    cold_sent: BTreeMap<NodeIx, VecDeque<Duration>>,
+    taken: BTreeMap<usize, Times>,
+    sent: BTreeMap<(Build, usize), Times>,
+    cold_sent: BTreeMap<NodeIx, Times>,
     /// RPCs a second that one unit of warm power has answered to this marshal.
     served: f64,
-    /// Keys that a build under one-way rule has answered, with that build.
+    /// Keys that a build on trial has answered under the one-way rule, with that build.
     crossed: BTreeMap<u64, Build>,
 }
 
-impl Gate {
-    fn slot(&self, method: usize) -> usize {
-        if self.by_method {
-            method
-        } else {
-            0
-        }
-    }
+fn recent(times: Option<&Times>, now: Duration, window: Duration) -> f64 {
+    times.map_or(0, |t| t.iter().rev().take_while(|&&at| at + window > now).count()) as f64
+}
 
+impl Gate {
     /// Stage and cap if the build is on trial for this marshal; an unannounced one counts as in stage 0.
-    fn trial(&self, build: Build) -> Option<(usize, f64)> {
+    fn trial(&self, cx: &Cx, build: Build) -> Option<(usize, f64)> {
         let news = self.news?;
         if build > news.build {
-            return Some((0, self.caps.first().copied().unwrap_or(0.0)));
+            return Some((0, cx.law.exposure.first_cap));
         }
         let cap = if news.course == Course::OnTrial { news.cap } else { 0.0 };
         (build == news.build && news.course != Course::Released).then_some((news.stage, cap))
     }
 
-    fn take(&mut self, now: Duration, method: usize) {
-        let slot = self.slot(method);
-        self.taken[slot].push_back(now);
+    /// Rule 1 (time left), rule 2 (repeats), rule 3 (drains), rule 5 (exposure), rule 4 (cold).
+    fn admits(&self, cx: &Cx, rpc: &Rpc, card: &Card) -> bool {
+        (card.ready && cx.now < rpc.until)
+            && self.may_repeat(cx, rpc, &card.entry)
+            && self.exposable(cx, rpc, &card.entry)
+            && self.warm_enough(cx, &card.entry)
     }
 
-    fn recent(times: &VecDeque<Duration>, now: Duration, window: Duration) -> usize {
-        times.iter().rev().take_while(|&&at| at + window > now).count()
-    }
-
-    /// Rule 1 (time left, picks left), rule 2 (repeats), rule 3 (drains), rule 4 (cold), rule 5 (exposure).
-    fn admits(&self, now: Duration, rpc: &Rpc, node: NodeIx, cards: &[Card]) -> bool {
-        let card = &cards[node];
-        card.ready
-            && now < rpc.until
-            && rpc.picks.len() < self.most_picks
-            && self.may_repeat(now, rpc, card, cards)
-            && self.exposed(now, rpc, card)
-            && self.warm_enough(now, node, card)
-    }
-
-    fn may_repeat(&self, now: Duration, rpc: &Rpc, card: &Card, cards: &[Card]) -> bool {
-        if rpc.streaming || (!self.copies && rpc.picks.iter().any(|p| p.out)) {
+    fn may_repeat(&self, cx: &Cx, rpc: &Rpc, entry: &NodeEntry) -> bool {
+        let barred = rpc.streaming || rpc.picks.len() >= cx.law.most_picks;
+        if barred || (!cx.law.copies && rpc.picks.iter().any(|p| p.out)) {
             return false;
         }
-        let Some(first) = rpc.picks.iter().find(|p| !p.never_ran) else { return true };
-        match self.methods[rpc.method] {
+        let mut ran = rpc.picks.iter().filter(|p| !p.never_ran).peekable();
+        let Some(first) = ran.peek().map(|p| p.at) else { return true };
+        match cx.law.duties[rpc.method].repeat {
             Repeat::Idempotent => true,
             Repeat::NonIdempotent => false,
             Repeat::Tokened { group, window } => {
-                let near = rpc.picks.iter().filter(|p| !p.never_ran).all(|p| match group {
+                let near = |p: &Pick| match group {
                     Group::All => true,
-                    Group::Zone => cards[p.node].zone == card.zone,
-                    Group::Cell => cards[p.node].cell == card.cell,
-                });
-                near && now + Duration::from_millis(250) < first.at + window
+                    Group::Zone => p.entry.zone == entry.zone,
+                    Group::Cell => p.entry.cell == entry.cell,
+                };
+                ran.all(near) && cx.now + secs(0.25) < first + window
             }
         }
     }
 
-    fn may_push_back(&self, rpc: &Rpc) -> bool {
-        rpc.picks.iter().all(|p| p.never_ran)
-            || match self.methods[rpc.method] {
-                Repeat::Idempotent => true,
-                Repeat::NonIdempotent => false,
-                Repeat::Tokened { group, .. } => group == Group::All,
-            }
+    fn may_push_back(cx: &Cx, rpc: &Rpc) -> bool {
+        let harmless = match cx.law.duties[rpc.method].repeat {
+            Repeat::Idempotent => true,
+            Repeat::NonIdempotent => false,
+            Repeat::Tokened { group, .. } => group == Group::All,
+        };
+        harmless || rpc.picks.iter().all(|p| p.never_ran)
     }
 
-    fn exposed(&self, now: Duration, rpc: &Rpc, card: &Card) -> bool {
-        if let Some(&build) = rpc.key.and_then(|key| self.crossed.get(&key)) {
-            let back = self.news.is_some_and(|n| matches!(n.course, Course::GoingBack | Course::Withdrawn));
-            if card.build < build && !back {
-                return false;
-            }
+    fn exposable(&self, cx: &Cx, rpc: &Rpc, entry: &NodeEntry) -> bool {
+        let (duty, rule) = (&cx.law.duties[rpc.method], &cx.law.exposure);
+        let back = self.news.is_some_and(|n| matches!(n.course, Course::GoingBack | Course::Withdrawn));
+        let crossed = rpc.key.and_then(|key| self.crossed.get(&key));
+        if !back && crossed.is_some_and(|&build| entry.build < build) {
+            return false;
         }
-        let Some((stage, cap)) = self.trial(card.build) else { return true };
-        if cap <= 0.0 || (stage < self.guarded && self.methods[rpc.method] != Repeat::Idempotent) {
+        let Some((stage, cap)) = self.trial(cx, entry.build) else { return true };
+        if cap <= 0.0 || (stage < rule.guarded && duty.repeat != Repeat::Idempotent) {
             return false;
         }
-        let slot = self.slot(rpc.method);
-        let used = self.sent.get(&(card.build, slot)).map_or(0, |t| Self::recent(t, now, self.window + BEAT));
-        let taken = Self::recent(&self.taken[slot], now, self.window.saturating_sub(BEAT));
-        (used + 1) as f64 <= self.free + cap * taken as f64
+        let used = recent(self.sent.get(&(entry.build, duty.slot)), cx.now, rule.window + BEAT);
+        let taken = recent(self.taken.get(&duty.slot), cx.now, rule.window.saturating_sub(BEAT));
+        used + 1.0 <= rule.free + cap * taken
     }
 
     /// Peers are taken to send as this marshal does, in proportion to what each has had answered; that sum is
     /// below what the fleet can do, whatever the fleet's speed is. One RPC a window goes always.
-    fn warm_enough(&self, now: Duration, node: NodeIx, card: &Card) -> bool {
-        let age = card.age(now);
-        if age >= self.warm_within + self.fall_window {
-            return true;
-        }
-        let grown =
-            age.saturating_sub(self.fall_window).as_secs_f64() / self.warm_within.as_secs_f64().max(0.001);
-        let present = self.cold_from + (1.0 - self.cold_from) * grown.min(1.0);
-        let budget = self.fall_budget * present * self.served * card.power;
-        let used = self.cold_sent.get(&node).map_or(0, |t| Self::recent(t, now, self.fall_window));
-        ((used + 1) as f64) <= budget.max(1.0)
+    fn warm_enough(&self, cx: &Cx, entry: &NodeEntry) -> bool {
+        let (age, law) = (cx.age(entry), &cx.law);
+        let grown = age.saturating_sub(law.fall_window).as_secs_f64() / law.warming.as_secs_f64().max(0.001);
+        let present = law.cold_from + (1.0 - law.cold_from) * grown.min(1.0);
+        let budget = law.fall_budget * present * self.served * power(entry);
+        let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window);
+        age >= law.warming + law.fall_window || used + 1.0 <= budget.max(1.0)
     }
 
     /// Books a send that `admits` has let through.
-    fn book(&mut self, now: Duration, method: usize, node: NodeIx, card: &Card) {
-        if self.trial(card.build).is_some() {
-            let slot = self.slot(method);
-            self.sent.entry((card.build, slot)).or_default().push_back(now);
-        }
-        if card.age(now) < self.warm_within + self.fall_window {
-            self.cold_sent.entry(node).or_default().push_back(now);
+    fn book(&mut self, cx: &Cx, method: usize, entry: &NodeEntry) {
+        if self.trial(cx, entry.build).is_some() {
+            let slot = cx.law.duties[method].slot;
+            self.sent.entry((entry.build, slot)).or_default().push_back(cx.now);
         }
+        self.cold_sent.entry(entry.node).or_default().push_back(cx.now);
     }
 
-    fn sweep(&mut self, now: Duration) {
-        let keep = self.window.max(self.fall_window) + BEAT + BEAT;
-        let trim = |times: &mut VecDeque<Duration>| {
-            while times.front().is_some_and(|&at| at + keep < now) {
-                times.pop_front();
-            }
-            !times.is_empty()
-        };
-        for times in &mut self.taken {
-            trim(times);
-        }
-        self.sent.retain(|_, times| trim(times));
-        self.cold_sent.retain(|_, times| trim(times));
+    fn sweep(&mut self, cx: &Cx) {
+        let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * BEAT;
+        let all = self.taken.values_mut().chain(self.sent.values_mut()).chain(self.cold_sent.values_mut());
+        all.for_each(|times| times.retain(|&at| at + keep >= cx.now));
     }
 }
 
-// ---- front: RPCs, picks, waits -------------------------------------------------------------------------------
+fn power(entry: &NodeEntry) -> f64 {
+    if entry.power > 0.0 {
+        entry.power
+    } else {
+        1.0
+    }
+}
+
+// ---- front: RPCs, picks, waits ---------------------------------------------------------------------------
 
 struct Pick {
-    node: NodeIx,
+    entry: NodeEntry,
     at: Duration,
     out: bool,
     never_ran: bool,
@@ -490,7 +443,6 @@
 struct Rpc {
     method: usize,
     key: Option<u64>,
-    over_share: bool,
     /// By when an answer earns in full, and by when any answer is owed.
     soft: Duration,
     until: Duration,
@@ -500,21 +452,12 @@
     burnt: bool,
 }
 
-struct Tenant {
-    rate: f64,
-    level: f64,
-    at: Duration,
-}
-
+#[derive(Default)]
 struct Front {
     gate: Gate,
-    soft: Vec<f64>,
-    utility: Vec<f64>,
-    retry_after: Option<Duration>,
-    tenants: Vec<Tenant>,
     cards: Vec<Card>,
     rpcs: BTreeMap<RpcIx, Rpc>,
-    waiting: BTreeSet<(bool, Duration, RpcIx)>,
+    waiting: BTreeSet<(Duration, RpcIx)>,
     /// Picks sent lately to the older arm and to the newest build; halved from time to time.
     sent: [f64; 2],
     newest: Build,
@@ -523,267 +466,191 @@
     /// Usual time of an ok by method, in seconds.
     usual: Vec<f64>,
     oks: f64,
-    seed: u64,
     draws: u64,
 }
 
 impl Front {
-    fn act(&mut self, now: Duration, note: ToFront, post: &mut Post) {
+    fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
-            ToFront::Card(ix, card) => {
-                if self.cards.len() <= ix {
-                    self.cards.resize(ix + 1, Card { ready: false, ..card });
-                }
+            Note::Card(card) => {
+                let ix = card.entry.node;
+                self.cards.resize(self.cards.len().max(ix + 1), Card::default());
                 self.cards[ix] = card;
             }
-            ToFront::Favour { newest, new_first } => (self.newest, self.new_first) = (newest, new_first),
-            ToFront::News(news) => self.gate.news = Some(news),
-            ToFront::Taken { rpc, method, tenant, key, left } => {
-                self.gate.take(now, method);
-                self.retries = (self.retries + RETRY_EARN).min(RETRY_MOST);
-                let over_share = tenant.is_some_and(|t| self.over_share(now, t));
-                let soft = now + secs(self.soft[method]).min(left);
-                let picks = Vec::new();
-                let entry = Rpc {
-                    method,
-                    key,
-                    over_share,
-                    soft,
-                    until: now + left,
-                    picks,
-                    streaming: false,
-                    burnt: false,
-                };
-                self.rpcs.insert(rpc, entry);
-                self.serve(now, rpc, post);
-            }
-            ToFront::Ended { rpc, pick, node, outcome, took, done } => {
-                self.ended(now, rpc, pick, node, outcome, took, done, post);
-                post.front.push_back(ToFront::Pump);
+            Note::Favour { newest, new_first } => (self.newest, self.new_first) = (newest, new_first),
+            Note::Told(Event::Rpc { rpc, method, key, left, .. }) => {
+                let duty = &cx.law.duties[method];
+                self.gate.taken.entry(duty.slot).or_default().push_back(cx.now);
+                self.retries = (self.retries + RETRIES[0]).min(RETRIES[1]);
+                let (soft, until, picks) = (cx.now + secs(duty.soft).min(left), cx.now + left, Vec::new());
+                self.rpcs
+                    .insert(rpc, Rpc { method, key, soft, until, picks, streaming: false, burnt: false });
+                self.serve(rpc, cx);
             }
-            ToFront::Streaming(rpc) => {
+            Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
+                self.oks += f64::from(u8::from(outcome == Outcome::Ok));
+                let build = self.cards[node].entry.build;
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
-                    r.streaming = true;
+                    if outcome == Outcome::Ok {
+                        self.usual[r.method] += 0.05 * (took.as_secs_f64() - self.usual[r.method]);
+                        let key = r.key.filter(|_| cx.law.exposure.one_way);
+                        self.gate.crossed.extend(key.map(|key| (key, build)));
+                    }
+                    if let Some(p) = r.picks.get_mut(pick) {
+                        (p.out, p.never_ran) = (false, outcome.never_ran());
+                    }
+                    r.burnt |= build == self.newest;
+                    if done {
+                        self.forget(rpc, cx);
+                    } else if !r.streaming && r.picks.iter().all(|p| !p.out) {
+                        self.again(rpc, outcome.never_ran(), cx);
+                    }
                 }
+                cx.put(FRONT, Note::Pump);
+            }
+            Note::Told(Event::StreamBegun { rpc, .. }) => {
+                self.rpcs.entry(rpc).and_modify(|r| r.streaming = true);
             }
-            ToFront::Left(rpc) => self.forget(rpc),
-            ToFront::Pump => self.pump(now, post),
-            ToFront::Beat => {
-                let warm: f64 =
-                    self.cards.iter().filter(|c| c.ready && c.age(now) > YOUNG).map(|c| c.power).sum();
-                let share = BEAT.as_secs_f64() / 3.0;
-                self.gate.served +=
-                    share * (self.oks / BEAT.as_secs_f64() / warm.max(1.0) - self.gate.served);
+            Note::Told(Event::ClientLeft { rpc }) => self.forget(rpc, cx),
+            Note::Told(event) => {
+                if let Some((news, VoteReply::Unasked | VoteReply::Counts)) = News::read(cx, &event) {
+                    self.gate.news = Some(news);
+                }
+            }
+            Note::Beat => {
+                let warm = self.cards.iter().filter(|c| c.ready && cx.age(&c.entry) > YOUNG);
+                let rate =
+                    self.oks / BEAT.as_secs_f64() / warm.map(|c| power(&c.entry)).sum::<f64>().max(1.0);
+                self.gate.served += BEAT.as_secs_f64() / 3.0 * (rate - self.gate.served);
                 self.oks = 0.0;
-                self.gate.sweep(now);
+                self.gate.sweep(cx);
                 if self.sent[0] + self.sent[1] > 200.0 {
                     self.sent = self.sent.map(|n| n / 2.0);
                 }
-                post.front.push_back(ToFront::Pump);
+                cx.put(FRONT, Note::Pump);
             }
+            Note::Pump => self.pump(cx),
+            _ => {}
         }
     }
 
-    fn over_share(&mut self, now: Duration, tenant: usize) -> bool {
-        let Some(t) = self.tenants.get_mut(tenant) else { return false };
-        t.level = (t.level - t.rate * now.saturating_sub(t.at).as_secs_f64()).max(0.0) + 1.0;
-        t.at = now;
-        t.level > 2.0 * t.rate
-    }
-
-    fn chance(&mut self) -> u64 {
+    fn chance(&mut self, cx: &Cx) -> u64 {
         let mut hasher = DefaultHasher::new();
-        (self.seed, self.draws).hash(&mut hasher);
+        (cx.law.seed, self.draws).hash(&mut hasher);
         self.draws += 1;
         hasher.finish()
     }
 
-    fn forget(&mut self, rpc: RpcIx) {
-        if let Some(r) = self.rpcs.remove(&rpc) {
-            self.waiting.remove(&self.rank(rpc, &r));
-        }
+    /// Place among those that wait: by soft deadline, earlier for more utility.
+    fn rank(&self, rpc: RpcIx, cx: &Cx) -> Option<(Duration, RpcIx)> {
+        let r = self.rpcs.get(&rpc)?;
+        Some((r.soft.saturating_sub(cx.law.duties[r.method].head_start), rpc))
     }
 
-    /// Who waits where: RPCs over their tenant's share last, then by soft deadline, earlier for more utility.
-    fn rank(&self, rpc: RpcIx, r: &Rpc) -> (bool, Duration, RpcIx) {
-        let mean = self.utility.iter().sum::<f64>() / self.utility.len() as f64;
-        let head_start = secs(0.2 * self.utility[r.method] / mean);
-        (r.over_share, r.soft.saturating_sub(head_start), rpc)
+    fn forget(&mut self, rpc: RpcIx, cx: &Cx) {
+        self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
+        self.rpcs.remove(&rpc);
     }
 
-    /// One waiting RPC is sent or given up; the next note goes on.
-    fn pump(&mut self, now: Duration, post: &mut Post) {
-        let mut hopeless = Vec::new();
-        for &(.., rpc) in &self.waiting {
-            if self
-                .rpcs
-                .get(&rpc)
-                .is_some_and(|r| now + secs(0.8 * self.usual[r.method]) > r.soft.min(r.until))
-            {
-                hopeless.push(rpc);
-            }
-        }
-        for rpc in hopeless {
-            self.give_up(now, rpc, post);
-        }
-        let first: Vec<RpcIx> = self.waiting.iter().take(3).map(|w| w.2).collect();
-        for rpc in first {
-            if self.send(now, rpc, post) {
-                post.front.push_back(ToFront::Pump);
-                return;
-            }
+    /// Those that cannot end in time are given up at once; then one waiting RPC is sent, and a note goes on.
+    fn pump(&mut self, cx: &mut Cx) {
+        let late = |r: &Rpc| cx.now + secs(SPARE * self.usual[r.method]) > r.soft;
+        let hopeless = |w: &&(Duration, RpcIx)| self.rpcs.get(&w.1).is_some_and(late);
+        let lost: Vec<RpcIx> = self.waiting.iter().filter(hopeless).map(|w| w.1).collect();
+        lost.into_iter().for_each(|rpc| self.give_up(rpc, cx));
+        let first: Vec<RpcIx> = self.waiting.iter().take(3).map(|w| w.1).collect();
+        if first.into_iter().any(|rpc| self.send(rpc, cx)) {
+            cx.put(FRONT, Note::Pump);
         }
     }
 
-    /// Sends at once, waits for a node with room, or gives up.
-    fn serve(&mut self, now: Duration, rpc: RpcIx, post: &mut Post) {
-        if self.waiting.is_empty() && self.send(now, rpc, post) {
-            return;
+    /// Sends at once, or waits for a node with room.
+    fn serve(&mut self, rpc: RpcIx, cx: &mut Cx) {
+        if !self.waiting.is_empty() || !self.send(rpc, cx) {
+            self.waiting.extend(self.rank(rpc, cx));
+            cx.put(FRONT, Note::Pump);
         }
-        let Some(r) = self.rpcs.get(&rpc) else { return };
-        let rank = self.rank(rpc, r);
-        self.waiting.insert(rank);
-        post.front.push_back(ToFront::Pump);
     }
 
-    fn give_up(&mut self, now: Duration, rpc: RpcIx, post: &mut Post) {
+    fn give_up(&mut self, rpc: RpcIx, cx: &mut Cx) {
         let Some(r) = self.rpcs.get(&rpc) else { return };
-        let _ = now;
-        if self.gate.may_push_back(r) {
-            let come_back = secs(2.0 * self.usual[r.method]);
-            let retry_after = self.retry_after.map(|most| come_back.min(most));
-            post.out.push(Action::PushBack { rpc, retry_after });
-        } else {
-            post.out.push(Action::Abort { rpc });
-        }
-        self.forget(rpc);
+        let come_back = secs(2.0 * self.usual[r.method]);
+        let retry_after = cx.law.retry_after.map(|most| come_back.min(most));
+        let harmless = Gate::may_push_back(cx, r);
+        cx.out.push(if harmless { Action::PushBack { rpc, retry_after } } else { Action::Abort { rpc } });
+        self.forget(rpc, cx);
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn ended(
-        &mut self,
-        now: Duration,
-        rpc: RpcIx,
-        pick: usize,
-        node: NodeIx,
-        outcome: Outcome,
-        took: Duration,
-        done: bool,
-        post: &mut Post,
-    ) {
-        let method = self.rpcs.get(&rpc).map(|r| r.method);
-        post.nodes[node].push_back(ToNode::Ended { rpc, pick, method, outcome, took });
-        let build = self.cards.get(node).map_or(0, |c| c.build);
-        if outcome == Outcome::Ok {
-            self.oks += 1.0;
-            if let Some(m) = method {
-                self.usual[m] += 0.05 * (took.as_secs_f64() - self.usual[m]);
-            }
-            let key = self.rpcs.get(&rpc).and_then(|r| r.key);
-            if let (Some(key), true, Some(_)) = (key, self.gate.one_way, self.gate.trial(build)) {
-                self.gate.crossed.insert(key, build);
-            }
-        }
-        if done {
-            self.forget(rpc);
-            return;
-        }
-        let newest = self.newest;
-        let Some(r) = self.rpcs.get_mut(&rpc) else { return };
-        if let Some(p) = r.picks.get_mut(pick) {
-            p.out = false;
-            p.never_ran = outcome.never_ran();
-        }
-        r.burnt |= build == newest;
-        if r.streaming || r.picks.iter().any(|p| p.out) {
-            return;
-        }
-        // Another pick only where there is time for it; those that may have run spend from a small store, so
-        // that failing nodes or an overload are not answered with a storm of repeats.
-        let in_time = now + secs(0.5 * self.usual[r.method]) < r.until;
-        let paid = outcome.never_ran() || self.retries >= 1.0;
-        if !in_time
-            || !paid
-            || !self.cards.iter().any(|c| self.gate.may_repeat(now, &self.rpcs[&rpc], c, &self.cards))
-        {
-            self.give_up(now, rpc, post);
-            return;
-        }
-        if !outcome.never_ran() {
-            self.retries -= 1.0;
-        }
-        if !self.send(now, rpc, post) {
-            self.serve(now, rpc, post);
+    /// Another pick only where there is time for it; those that may have run spend from a small store, so that
+    /// failing nodes or an overload are not answered with a storm of repeats.
+    fn again(&mut self, rpc: RpcIx, never_ran: bool, cx: &mut Cx) {
+        let (r, spent) = (&self.rpcs[&rpc], if never_ran { 0.0 } else { 1.0 });
+        let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent;
+        if in_time && self.cards.iter().any(|c| self.gate.may_repeat(cx, r, &c.entry)) {
+            self.retries -= spent;
+            self.serve(rpc, cx);
+        } else {
+            self.give_up(rpc, cx);
         }
     }
 
-    /// Picks arm and node for an RPC and sends it, if the gate lets it through anywhere.
-    fn send(&mut self, now: Duration, rpc: RpcIx, post: &mut Post) -> bool {
-        let Some(r) = self.rpcs.get(&rpc) else { return false };
-        let ready = self.cards.iter().filter(|c| c.ready).count();
-        let of_new = self.cards.iter().filter(|c| c.ready && c.build == self.newest).count();
-        let resting = self.cards.iter().filter(|c| c.ready && c.resting).count();
-        let share = of_new as f64 / ready.max(1) as f64;
-        let total = self.sent[0] + self.sent[1] + 1.0;
-        let within = |arm: usize| {
-            let part = if arm == 1 { share } else { 1.0 - share };
-            self.sent[arm] + 1.0 <= SHARE_LIMIT * part * total + 1.0
-        };
+    /// Nodes for an RPC: of the arm of larger index within its limits, then of the other; wary of nodes that
+    /// failed it, rest or are being tried again, unless there is no other way.
+    fn choices(&self, r: &Rpc, cx: &Cx) -> Option<(usize, Vec<Card>)> {
+        let ready = || self.cards.iter().filter(|c| c.ready);
+        let all = ready().count().max(1);
+        let share = ready().filter(|c| c.entry.build == self.newest).count() as f64 / all as f64;
+        let most_rest = 2 * ready().filter(|c| c.resting).count() >= all;
+        let limit = |part: f64| SHARE_LIMIT * part * (self.sent[0] + self.sent[1] + 1.0);
+        let within = [self.sent[0] <= limit(1.0 - share), self.sent[1] <= limit(share)];
         // A pick that failed on the newest build is repeated on an older one first.
         let first = usize::from(self.new_first && !r.burnt);
-        let looks = [(first, true), (1 - first, true), (first, false), (1 - first, false)];
-        let mut found = None;
-        'look: for fearful in [true, false] {
-            for (arm, limited) in looks {
-                if limited && !within(arm) {
-                    continue;
-                }
-                let fits = |ix: &NodeIx| {
-                    let c = &self.cards[*ix];
-                    let fit =
-                        (c.build == self.newest) == (arm == 1) && (c.in_flight as f64) < c.limit.floor();
-                    let wary = fearful
-                        && (r.picks.iter().any(|p| p.node == *ix)
-                            || (c.gentle
-                                && (c.in_flight > 0
-                                    || self.gate.methods[r.method] == Repeat::NonIdempotent)));
-                    let rests = c.resting && (fearful || 2 * resting < ready);
-                    fit && !wary && !rests && self.gate.admits(now, r, *ix, &self.cards)
+        for wary in [true, false] {
+            for (arm, limited) in [(first, true), (1 - first, true), (first, false), (1 - first, false)] {
+                let fits = |c: &&Card| {
+                    let unsure = c.in_flight > 0 || cx.law.duties[r.method].repeat == Repeat::NonIdempotent;
+                    let failed = || r.picks.iter().any(|p| p.entry.node == c.entry.node);
+                    let doubt = c.resting || (c.gentle && unsure) || failed();
+                    (c.entry.build == self.newest) == (arm == 1)
+                        && (c.in_flight as f64) < c.limit.floor()
+                        && if wary { !doubt } else { !c.resting || most_rest }
+                        && self.gate.admits(cx, r, c)
                 };
-                let fit: Vec<NodeIx> = (0..self.cards.len()).filter(fits).collect();
-                if !fit.is_empty() {
-                    found = Some((arm, fit));
-                    break 'look;
+                let fit: Vec<Card> = self.cards.iter().filter(fits).copied().collect();
+                if (within[arm] || !limited) && !fit.is_empty() {
+                    return Some((arm, fit));
                 }
             }
         }
-        let Some((arm, fit)) = found else { return false };
-        let draw = self.chance();
-        let (a, b) = (fit[draw as usize % fit.len()], fit[(draw >> 32) as usize % fit.len()]);
-        let cost = |ix: NodeIx| (self.cards[ix].in_flight + 1) as f64 * self.cards[ix].pace;
-        let node = if cost(b) < cost(a) { b } else { a };
-        let method = self.rpcs[&rpc].method;
-        let rank = self.rank(rpc, &self.rpcs[&rpc]);
-        self.waiting.remove(&rank);
-        self.gate.book(now, method, node, &self.cards[node]);
-        self.sent[arm] += 1.0;
-        let (usual, soft) = (self.usual[method], self.soft[method]);
-        let repeatable = self.gate.methods[method] != Repeat::NonIdempotent && self.retries >= 1.0;
+        None
+    }
+
+    /// Picks arm and node for an RPC and sends it, if the gate lets it through anywhere.
+    fn send(&mut self, rpc: RpcIx, cx: &mut Cx) -> bool {
+        let Some((arm, fit)) = self.rpcs.get(&rpc).and_then(|r| self.choices(r, cx)) else { return false };
+        self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
+        let draw = self.chance(cx);
+        let (a, b) = (&fit[draw as usize % fit.len()], &fit[(draw >> 32) as usize % fit.len()]);
+        let cost = |c: &Card| (c.in_flight + 1) as f64 * c.pace;
+        let entry = if cost(b) < cost(a) { b.entry } else { a.entry };
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
-        let left = r.until.saturating_sub(now);
+        self.gate.book(cx, r.method, &entry);
+        self.sent[arm] += 1.0;
         // A first pick that may be repeated leaves room for another; once the fleet is slow, waiting is better.
-        let early = (0.6 * soft).max(4.0 * usual);
-        let leave_room = repeatable && r.picks.is_empty() && early < 0.8 * soft;
-        let pick_for = if leave_room { secs(early).min(left) } else { left };
-        r.picks.push(Pick { node, at: now, out: true, never_ran: false });
-        let pick = r.picks.len() - 1;
-        post.out.push(Action::Pick { rpc, node, within: pick_for });
-        post.nodes[node].push_back(ToNode::Sent { rpc, pick, at: now });
+        let (left, duty) = (r.until.saturating_sub(cx.now), &cx.law.duties[r.method]);
+        let early = (0.6 * duty.soft).max(4.0 * self.usual[r.method]);
+        let repeatable = duty.repeat != Repeat::NonIdempotent && self.retries >= 1.0;
+        let leave_room = repeatable && r.picks.is_empty() && early < 0.8 * duty.soft;
+        let within = if leave_room { secs(early).min(left) } else { left };
+        r.picks.push(Pick { entry, at: cx.now, out: true, never_ran: false });
+        let (node, pick, method) = (entry.node, r.picks.len() - 1, r.method);
+        cx.out.push(Action::Pick { rpc, node, within });
+        cx.put(NODES + node, Note::Sent { rpc, pick, method });
         true
     }
 }
 
-// ---- judge: arms, verdicts, votes ----------------------------------------------------------------------------
+// ---- judge: arms, verdicts, votes ------------------------------------------------------------------------
 
 /// One method's ledgers: payoff, soundness (no error, no flag), and times of ok answers in coarse bins.
 #[derive(Clone, Copy, Default)]
@@ -794,561 +661,406 @@
 }
 
 impl Ledger {
-    fn add(&mut self, other: &Ledger) {
-        self.paid.add(other.paid);
-        self.sound.add(other.sound);
-        self.times.iter_mut().zip(other.times).for_each(|(a, b)| *a += b);
+    fn add(&mut self, other: &Ledger, part: f64) {
+        self.paid.add(other.paid, part);
+        self.sound.add(other.sound, part);
+        self.times.iter_mut().zip(other.times).for_each(|(a, b)| *a += part * b);
     }
     fn halve(&mut self) {
-        self.paid.halve();
-        self.sound.halve();
-        self.times.iter_mut().for_each(|n| *n /= 2.0);
+        let whole = *self;
+        self.add(&whole, -0.5);
     }
 }
 
+#[derive(Clone, Default)]
 struct Book {
-    build: Build,
+    entry: NodeEntry,
     ready: bool,
-    kind: usize,
-    started: Option<Duration>,
     methods: Vec<Ledger>,
 }
 
-/// New and old arm on one question.
-type Pair = [Tally; 2];
-
-struct Cast {
-    verdict: Verdict,
-    stage: usize,
-    build: Build,
-    at: Duration,
-    settled: bool,
+impl Book {
+    fn suspect(&self) -> bool {
+        let mut all = Tally::default();
+        self.methods.iter().for_each(|l| all.add(l.sound, 1.0));
+        all.n >= 4.0 && 1.0 - all.mean() > SUSPECT
+    }
+    fn add_to(&self, sums: &mut [Ledger]) {
+        let first = self.entry.kind * self.methods.len();
+        self.methods.iter().zip(&mut sums[first..]).for_each(|(ledger, sum)| sum.add(ledger, 1.0));
+    }
 }
 
+#[derive(Default)]
 struct Judge {
-    soft: Vec<f64>,
-    shares: Vec<f64>,
-    by_votes: bool,
-    peers: bool,
-    vote_life: Duration,
-    vote_wait: Duration,
-    vote_gap: Duration,
     books: Vec<Book>,
-    kinds: usize,
     /// What older builds did on nodes that are gone, by kind and method.
     past: Vec<Ledger>,
     newest: Build,
     places: f64,
     news: Option<News>,
-    news_at: Duration,
     begun: Option<(Build, usize, Duration)>,
     heard: BTreeMap<usize, (Duration, Build, Vec<Pair>)>,
     sums: Vec<Pair>,
-    cast: Option<Cast>,
+    /// The last vote, when it was sent, and whether it is known to count.
+    cast: Option<((Verdict, usize, Build), Duration, bool)>,
     halved: Duration,
     told: Duration,
     looked: Duration,
 }
 
 impl Judge {
-    fn act(&mut self, now: Duration, note: ToJudge, post: &mut Post) {
+    fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
-            ToJudge::Card(ix, card) => self.listed(ix, &card),
-            ToJudge::Booked { node, build, method, outcome, took, age } => {
-                let soft = self.soft[method];
-                let Some(book) = self.books.get_mut(node).filter(|b| b.build == build) else { return };
-                let (ledger, ok) = (&mut book.methods[method], outcome == Outcome::Ok);
-                match outcome {
-                    Outcome::Ok | Outcome::Error => ledger.sound.book(ok),
-                    Outcome::Full | Outcome::Moot | Outcome::Cancelled | Outcome::NoConnection => return,
-                    Outcome::Timeout | Outcome::Reset => {}
+            Note::Card(card) => self.listed(&card, cx),
+            Note::Booked { entry, method, outcome, took } => {
+                let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
+                let Some(book) = self.books.get_mut(entry.node).filter(same) else { return };
+                let (soft, ledger, ok) =
+                    (cx.law.duties[method].soft, &mut book.methods[method], outcome == Outcome::Ok);
+                let one = |good: bool| Tally { n: 1.0, good: f64::from(u8::from(good)) };
+                if matches!(outcome, Outcome::Ok | Outcome::Error) {
+                    ledger.sound.add(one(ok), 1.0);
                 }
-                if age >= YOUNG {
-                    ledger.paid.book(ok && took.as_secs_f64() <= soft);
-                    if ok {
-                        // Bins by half powers of two, the last but two ending at the soft deadline.
-                        let bin = (took.as_secs_f64() / soft).max(1e-9).log2() * 2.0 + (BINS - 3) as f64;
-                        ledger.times[bin.clamp(0.0, (BINS - 1) as f64) as usize] += 1.0;
-                    }
+                if cx.age(&entry) >= YOUNG && !outcome.never_ran() && outcome != Outcome::Cancelled {
+                    ledger.paid.add(one(ok && took <= soft), 1.0);
+                    // Bins by half powers of two, the last but two ending at the soft deadline.
+                    let bin = (took / soft).max(1e-9).log2() * 2.0 + (BINS - 3) as f64;
+                    ledger.times[bin.clamp(0.0, (BINS - 1) as f64) as usize] += one(ok).good;
                 }
             }
-            ToJudge::Disputed { node, method, age } => {
-                let Some(book) = self.books.get_mut(node) else { return };
-                if book.started.is_none_or(|at| at + age < now) {
+            Note::Told(Event::Disputed { node, method, age }) => {
+                let before = |b: &&mut Book| cx.age(&b.entry) > age;
+                if let Some(book) = self.books.get_mut(node).filter(before) {
                     let ledger = &mut book.methods[method];
-                    for tally in [&mut ledger.paid, &mut ledger.sound] {
-                        tally.good = (tally.good - 1.0).max(0.0);
-                    }
+                    ledger.paid.good = (ledger.paid.good - 1.0).max(0.0);
+                    ledger.sound.good = (ledger.sound.good - 1.0).max(0.0);
                 }
             }
-            ToJudge::News(news, reply) => self.news(now, news, reply),
-            ToJudge::Sums { build, method, picks, failed } => {
-                if let Some(pair) = self.sums.get_mut(method) {
-                    let arm = usize::from(build != self.newest);
-                    if build <= self.newest {
-                        pair[arm].add(Tally { n: picks, good: picks - failed });
-                    }
-                }
+            Note::Told(Event::Sums { build, method, picks, failed, .. }) if build <= self.newest => {
+                let sum = Tally { n: picks.into(), good: picks.saturating_sub(failed).into() };
+                self.sums[method][usize::from(build != self.newest)].add(sum, 1.0);
+            }
+            Note::Told(Event::Peer { from, text }) => {
+                self.heard.extend(read_pairs(&text).map(|(build, pairs)| (from, (cx.now, build, pairs))));
             }
-            ToJudge::Peer { from, text } => {
-                if let Some((build, pairs)) = read_pairs(&text) {
-                    self.heard.insert(from, (now, build, pairs));
+            Note::Told(event) => {
+                let Some((news, reply)) = News::read(cx, &event) else { return };
+                if let Some(cast) = &mut self.cast {
+                    // What may not count is said again after a spread-out pause.
+                    cast.2 |= matches!(reply, VoteReply::Counts | VoteReply::Moot);
+                }
+                if matches!(reply, VoteReply::Unasked | VoteReply::Counts) {
+                    self.newer(news.build);
+                    self.news = Some(news);
                 }
             }
-            ToJudge::Beat => self.beat(now, post),
+            Note::Beat if cx.now >= self.looked + LOOK => self.look(cx),
+            _ => {}
         }
     }
 
-    fn listed(&mut self, ix: NodeIx, card: &Card) {
-        let blank = || vec![Ledger::default(); self.soft.len()];
-        while self.books.len() <= ix {
-            let methods = blank();
-            self.books.push(Book { build: 0, ready: false, kind: 0, started: None, methods });
-        }
-        let fresh = self.books[ix].build != card.build || self.books[ix].started != card.started;
+    fn listed(&mut self, card: &Card, cx: &Cx) {
+        let blank = Book { methods: vec![Ledger::default(); cx.law.duties.len()], ..Book::default() };
+        self.books.resize(self.books.len().max(card.entry.node + 1), blank.clone());
+        let book = &mut self.books[card.entry.node];
+        let fresh = (book.entry.build, book.entry.started) != (card.entry.build, card.entry.started);
         if fresh || !card.ready {
             // The old arm's record outlives its nodes.
-            let book = &mut self.books[ix];
-            let methods = std::mem::replace(&mut book.methods, vec![Ledger::default(); self.soft.len()]);
-            if book.build < self.newest {
-                for (m, ledger) in methods.iter().enumerate() {
-                    self.past[book.kind * self.soft.len() + m].add(ledger);
-                }
+            if book.entry.build < self.newest {
+                book.add_to(&mut self.past);
             }
+            book.methods = blank.methods;
         }
-        let book = &mut self.books[ix];
-        (book.build, book.ready, book.started) = (card.build, card.ready, card.started);
-        book.kind = card.kind.min(self.kinds - 1);
-        if card.ready && card.build > self.newest {
-            self.newer(card.build);
+        (book.entry, book.ready) = (card.entry, card.ready);
+        book.entry.kind = card.entry.kind.min(cx.law.kinds - 1);
+        if card.ready {
+            self.newer(card.entry.build);
         }
     }
 
-    /// A newer build begins its trial: its counts start anew. What a released one did joins the older arm;
-    /// what one that was sent back did is struck out.
+    /// A newer build begins its trial: its counts start anew. What a released one did becomes the older arm's
+    /// record; what one that was sent back did is struck out.
     fn newer(&mut self, build: Build) {
-        let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
+        if build <= self.newest {
+            return;
+        }
+        let released = self.news.is_none_or(|n| n.build == self.newest && n.course == Course::Released);
         if released {
             self.past.fill(Ledger::default());
         }
-        for book in self.books.iter_mut().filter(|b| b.build == self.newest || b.build == build) {
-            if !released || book.build == build {
-                book.methods.fill(Ledger::default());
-            }
-        }
+        let void = |b: &&mut Book| b.entry.build == build || (b.entry.build == self.newest && !released);
+        self.books.iter_mut().filter(void).for_each(|b| b.methods.fill(Ledger::default()));
         self.newest = build;
         self.sums.fill(Pair::default());
-        self.places = self.books.iter().filter(|b| b.ready && b.build < build).count() as f64;
-    }
-
-    fn news(&mut self, now: Duration, news: News, reply: VoteReply) {
-        if let Some(cast) = &mut self.cast {
-            match reply {
-                VoteReply::Unasked => {}
-                VoteReply::Counts | VoteReply::Moot => cast.settled = true,
-                // May not count: said again after a spread-out pause.
-                VoteReply::Full | VoteReply::Error | VoteReply::Silent => cast.settled = false,
-            }
-        }
-        if matches!(reply, VoteReply::Unasked | VoteReply::Counts) {
-            if news.build > self.newest {
-                self.newer(news.build);
-            }
-            self.news = Some(news);
-            self.news_at = now;
-        }
+        self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
     /// An arm's ledgers by kind and method, its suspect nodes left out where they are the minority, or where
     /// nodes of the other arm are suspect too: trouble on nodes of both builds convicts neither.
-    fn arm(&self, new: bool, other_suspects: bool) -> (Vec<Ledger>, bool) {
-        let mut sums = if new { vec![Ledger::default(); self.past.len()] } else { self.past.clone() };
-        let mine =
-            |b: &&Book| b.ready && b.build > 0 && (b.build == self.newest) == new && b.build <= self.newest;
-        let suspect = |b: &&Book| {
-            let mut all = Tally::default();
-            b.methods.iter().for_each(|l| all.add(l.sound));
-            all.n >= 4.0 && 1.0 - all.mean() > SUSPECT
-        };
+    fn arm(&self, new: bool, mut sums: Vec<Ledger>, other_suspects: bool) -> (Vec<Ledger>, usize, bool) {
+        let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
         let nodes = self.books.iter().filter(mine).count();
-        let suspects = self.books.iter().filter(mine).filter(suspect).count();
+        let suspects = self.books.iter().filter(mine).filter(|b| b.suspect()).count();
         let leave_out = 2 * suspects < nodes || (other_suspects && suspects <= 1 + nodes / 2);
-        for book in self.books.iter().filter(mine).filter(|b| !(leave_out && suspect(b))) {
-            for (m, ledger) in book.methods.iter().enumerate() {
-                sums[book.kind * self.soft.len() + m].add(ledger);
-            }
-        }
-        (sums, suspects > 0)
+        let count = |b: &&Book| mine(b) && !(leave_out && b.suspect());
+        self.books.iter().filter(count).for_each(|b| b.add_to(&mut sums));
+        (sums, nodes, suspects > 0)
     }
 
-    /// The questions asked of both arms: payoff pooled, soundness by method, pace.
-    fn own_pairs(&self) -> Vec<Pair> {
-        let (old, old_suspects) = self.arm(false, false);
-        let (new, _) = self.arm(true, old_suspects);
-        let count = self.soft.len();
+    /// The questions asked of both arms: payoff, soundness by method, pace; and how many nodes are on trial.
+    fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
+        let (old, _, old_suspects) = self.arm(false, self.past.clone(), false);
+        let (new, nodes, _) = self.arm(true, vec![Ledger::default(); self.past.len()], old_suspects);
+        let count = cx.law.duties.len();
         let mut pairs = vec![Pair::default(); count + 2];
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
-            pairs[0][0].add(n.paid);
-            pairs[0][1].add(o.paid);
-            pairs[1 + i % count][0].add(n.sound);
-            pairs[1 + i % count][1].add(o.sound);
+            join(&mut pairs[0], &[n.paid, o.paid]);
+            join(&mut pairs[1 + i % count], &[n.sound, o.sound]);
             // Brisk: within the time that three quarters of the older arm's answers need, on nodes of this kind.
-            let all: f64 = o.times.iter().sum();
-            let mut sum = 0.0;
-            let edge = o.times.iter().position(|t| {
+            let (all, mut sum) = (o.times.iter().sum::<f64>(), 0.0);
+            let passed = |t: &f64| {
                 sum += t;
                 sum >= 0.75 * all
-            });
-            if let (Some(edge), true) = (edge, all >= LEAST_SAMPLE) {
+            };
+            if let (Some(edge), true) = (o.times.iter().position(passed), all >= LEAST_SAMPLE) {
                 let brisk =
                     |l: &Ledger| Tally { n: l.times.iter().sum(), good: l.times[..=edge].iter().sum() };
-                pairs[count + 1][0].add(brisk(n));
-                pairs[count + 1][1].add(brisk(o));
+                join(&mut pairs[count + 1], &[brisk(n), brisk(o)]);
             }
         }
-        pairs
-    }
-
-    /// Own evidence, widened by fresh peers' and by the platform's sums.
-    fn pooled(&self, now: Duration, own: &[Pair]) -> Vec<Pair> {
-        let mut all = own.to_vec();
-        let fresh = Duration::from_secs(3);
-        for (at, build, pairs) in self.heard.values() {
-            if *build == self.newest && now < *at + fresh && pairs.len() == all.len() {
-                all.iter_mut().zip(pairs).for_each(|(a, p)| (0..2).for_each(|i| a[i].add(p[i])));
-            }
-        }
-        for (m, sums) in self.sums.iter().enumerate() {
-            (0..2).for_each(|i| all[1 + m][i].add(sums[i]));
-        }
-        all
-    }
-
-    fn judged(&self, pairs: &[Pair], released: bool) -> Stand {
-        let last = pairs.len() - 1;
-        let mut sound = Pair::default();
-        pairs[1..last].iter().for_each(|p| (0..2).for_each(|i| sound[i].add(p[i])));
-        let mut stands: Vec<Stand> = pairs[1..last].iter().map(|p| stand(p[0], p[1], MARGIN[1])).collect();
-        stands.push(stand(sound[0], sound[1], MARGIN[1]));
-        if !released {
-            stands.push(stand(pairs[0][0], pairs[0][1], MARGIN[0]));
-            stands.push(stand(pairs[last][0], pairs[last][1], MARGIN[2]));
-        }
-        stands.into_iter().fold(Stand::Better, |worst, s| if s > worst { s } else { worst })
+        (pairs, nodes)
     }
 
-    fn beat(&mut self, now: Duration, post: &mut Post) {
-        if now < self.looked + Duration::from_millis(100) {
-            return;
-        }
-        self.looked = now;
-        if now >= self.halved + HALVE {
-            self.halved = now;
-            let live = |b: &&mut Book| b.ready;
-            self.books.iter_mut().filter(live).for_each(|b| b.methods.iter_mut().for_each(Ledger::halve));
+    fn look(&mut self, cx: &mut Cx) {
+        self.looked = cx.now;
+        if cx.now >= self.halved + HALVE {
+            self.halved = cx.now;
+            self.books.iter_mut().flat_map(|b| &mut b.methods).for_each(Ledger::halve);
             // The record of an arm without nodes is kept.
-            if self.books.iter().any(|b| b.ready && b.build < self.newest) {
+            if self.books.iter().any(|b| b.ready && b.entry.build < self.newest) {
                 self.past.iter_mut().for_each(Ledger::halve);
             }
-            self.sums.iter_mut().for_each(|pair| pair.iter_mut().for_each(Tally::halve));
+            self.sums.iter_mut().flatten().for_each(|t| t.add(*t, -0.5));
         }
-        let own = self.own_pairs();
-        let new_first = own[0][0].index() >= own[0][1].index();
-        post.front.push_back(ToFront::Favour { newest: self.newest, new_first });
-        if self.peers && now >= self.told + Duration::from_millis(500) && own.iter().any(|p| p[0].n >= 1.0) {
-            self.told = now;
-            post.out.push(Action::Tell { to: None, text: write_pairs(self.newest, &own) });
+        let (mut pairs, nodes) = self.own_pairs(cx);
+        let new_first = pairs[0][0].index() >= pairs[0][1].index();
+        cx.put(FRONT, Note::Favour { newest: self.newest, new_first });
+        if cx.law.peers && cx.now >= self.told + 5 * LOOK && pairs.iter().any(|p| p[0].n >= 1.0) {
+            self.told = cx.now;
+            cx.out.push(Action::Tell { to: None, text: write_pairs(self.newest, &pairs) });
         }
-        let wish = self.wish(now, &own);
-        self.vote(now, wish, post);
+        // Votes rest on own evidence, widened by fresh peers' and by the platform's sums.
+        for (at, build, theirs) in self.heard.values() {
+            if *build == self.newest && cx.now < *at + FRESH && theirs.len() == pairs.len() {
+                pairs.iter_mut().zip(theirs).for_each(|(a, b)| join(a, b));
+            }
+        }
+        self.sums.iter().enumerate().for_each(|(m, sums)| join(&mut pairs[1 + m], sums));
+        self.vote(pairs, nodes, cx);
     }
 
-    fn wish(&mut self, now: Duration, own: &[Pair]) -> Option<(Verdict, usize, Build)> {
-        let news = self.news.filter(|n| n.build == self.newest)?;
+    fn vote(&mut self, mut pairs: Vec<Pair>, nodes: usize, cx: &mut Cx) {
+        let Some(news) = self.news.filter(|n| n.build == self.newest) else { return };
         let released = news.course == Course::Released;
         if !released && news.course != Course::OnTrial {
-            return None;
+            return;
         }
-        let pairs = self.pooled(now, own);
-        let stand = self.judged(&pairs, released);
-        if stand == Stand::Worse {
-            return Some((Verdict::Back, news.stage, news.build));
+        // Questions in order: soundness by method, soundness of all, payoff, pace.
+        let (mut sound, payoff) = (Pair::default(), pairs.remove(0));
+        let pace = pairs.pop().unwrap_or_default();
+        pairs.iter().for_each(|p| join(&mut sound, p));
+        let slower = MARGIN[2] + MARGIN[3] / (nodes.max(1) as f64).sqrt();
+        let mut asked: Vec<(Pair, f64)> = pairs.into_iter().chain([sound]).map(|p| (p, MARGIN[1])).collect();
+        if !released {
+            // After release no other arm shares the day's troubles: only soundness is held against the build.
+            asked.extend([(payoff, MARGIN[0]), (pace, slower)]);
+        }
+        let worse = |part: f64| {
+            let var = |old: Tally| old.mean() * (1.0 - old.mean());
+            asked.iter().position(|([new, old], margin)| below(*new, *old, *margin, part, var(*old)))
+        };
+        let better = below(payoff[1], payoff[0], 0.0, 1.0, payoff[1].mean() * (1.0 - payoff[1].mean()));
+        let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
+        let ripe = better || self.begun(news, cx).is_some_and(|at| cx.now >= at + wait);
+        let verdict = match (worse(1.0), worse(0.4)) {
+            (Some(_), _) => Verdict::Back,
+            // A vote on is taken back while the evidence leans against the build.
+            (None, Some(_)) => Verdict::None,
+            _ if ripe && !released && cx.law.by_votes => Verdict::On,
+            _ => return,
+        };
+        let (stage, build, gap) = (news.stage, news.build, cx.law.vote_gap);
+        let wish = (verdict, stage, build);
+        let wait = match self.cast {
+            Some((cast, _, counts)) if cast == wish && verdict != Verdict::None => {
+                if counts {
+                    cx.law.vote_life.mul_f64(0.6)
+                } else {
+                    cx.law.vote_wait.max(gap)
+                }
+            }
+            Some(((Verdict::On, s, b), ..)) if (s, b) == (stage, build) => gap,
+            Some(_) if verdict != Verdict::None => gap,
+            None if verdict != Verdict::None => Duration::ZERO,
+            _ => return,
+        };
+        if self.cast.is_some_and(|(_, at, _)| cx.now < at + wait) {
+            return;
         }
-        let begun = self.begun(now, news)?;
-        if released || !self.by_votes || stand == Stand::Leans {
-            return None;
+        if self.cast.is_none_or(|(cast, ..)| cast != wish) {
+            let why = worse(1.0).or(worse(0.4)).map_or(String::new(), |q| format!(", question {q}"));
+            cx.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}{why}")));
         }
-        let seen: f64 = pairs[1..pairs.len() - 1].iter().map(|p| p[0].n).sum();
-        let wait = if seen < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
-        (stand == Stand::Better || now >= begun + wait).then_some((Verdict::On, news.stage, news.build))
+        self.cast = Some((wish, cx.now, false));
+        cx.out.push(Action::Vote { verdict, stage, build });
     }
 
     /// When the present stage's machines have all started, as far as the list tells.
-    fn begun(&mut self, now: Duration, news: News) -> Option<Duration> {
+    fn begun(&mut self, news: News, cx: &Cx) -> Option<Duration> {
         if let Some((build, stage, at)) = self.begun {
             if (build, stage) == (news.build, news.stage) {
                 return Some(at);
             }
         }
-        let trial = self.books.iter().filter(|b| b.ready && b.build == news.build);
-        let starts: Vec<Duration> = trial.map(|b| b.started.unwrap_or_default()).collect();
-        let due = (self.shares.get(news.stage)? * self.places * 0.9).floor().max(1.0);
-        let launched = self.news_at.saturating_sub(news.age);
-        let at = match starts.iter().max() {
-            Some(&last) if starts.len() as f64 >= due => last.max(launched),
-            _ if now >= launched + STAGE_LATEST => now,
-            _ => return None,
-        };
+        let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
+        let due = (cx.law.shares.get(news.stage)? * self.places * 0.9).floor().max(1.0);
+        let all = trial.clone().count() as f64 >= due;
+        let last =
+            trial.filter_map(|b| b.entry.started).max().filter(|_| all).map(|at| at.max(news.launched));
+        let at = last.or((cx.now >= news.launched + STAGE_LATEST).then_some(cx.now))?;
         self.begun = Some((news.build, news.stage, at));
         Some(at)
     }
-
-    fn vote(&mut self, now: Duration, wish: Option<(Verdict, usize, Build)>, post: &mut Post) {
-        let (verdict, stage, build) = match (wish, &self.cast) {
-            (Some(wish), _) => wish,
-            (None, Some(c)) if c.verdict == Verdict::On && now < c.at + self.vote_life => {
-                (Verdict::None, c.stage, c.build)
-            }
-            _ => return,
-        };
-        if let Some(c) = &self.cast {
-            let same = (c.verdict, c.stage, c.build) == (verdict, stage, build);
-            let again = if c.settled { self.vote_life.mul_f64(0.6) } else { self.vote_wait + self.vote_gap };
-            if now < c.at + if same { again } else { self.vote_gap } || (same && verdict == Verdict::None) {
-                return;
-            }
-            if !same {
-                post.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}")));
-            }
-        }
-        self.cast = Some(Cast { verdict, stage, build, at: now, settled: false });
-        post.out.push(Action::Vote { verdict, stage, build });
-    }
 }
 
-/// Cumulative counts for peers: the build, then four counts a question. Loss and repetition do no harm.
+/// Counts for peers: the build, then four counts a question. Loss and repetition do no harm.
 fn write_pairs(build: Build, pairs: &[Pair]) -> Vec<u8> {
-    let mut text = (build as u16).to_le_bytes().to_vec();
-    for t in pairs.iter().flatten() {
-        text.extend_from_slice(&(t.n.min(65535.0) as u16).to_le_bytes());
-        text.extend_from_slice(&(t.good.min(t.n).min(65535.0) as u16).to_le_bytes());
-    }
-    text
+    let counts = pairs.iter().flatten().flat_map(|t| [t.n, t.good]);
+    let words = [build as u16].into_iter().chain(counts.map(|x| x.clamp(0.0, 65535.0) as u16));
+    words.flat_map(u16::to_le_bytes).collect()
 }
 
 fn read_pairs(text: &[u8]) -> Option<(Build, Vec<Pair>)> {
-    let words: Vec<f64> = text.chunks_exact(2).map(|b| f64::from(u16::from_le_bytes([b[0], b[1]]))).collect();
+    let words: Vec<u16> = text.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
     let (build, rest) = words.split_first()?;
-    let tally = |w: &[f64]| Tally { n: w[0], good: w[1].min(w[0]) };
-    Some((*build as Build, rest.chunks_exact(4).map(|w| [tally(&w[..2]), tally(&w[2..])]).collect()))
+    let tally = |n: u16, good: u16| Tally { n: n.into(), good: good.min(n).into() };
+    let pairs = rest.chunks_exact(4).map(|w| [tally(w[0], w[1]), tally(w[2], w[3])]);
+    Some(((*build).into(), pairs.collect()))
 }
 
-// ---- scout: the list of nodes, where it must be asked for ----------------------------------------------------
+// ---- scout: the list of nodes, where it must be asked for ------------------------------------------------
 
+#[derive(Default)]
 struct Scout {
-    asks: bool,
     subscribed: bool,
     ask_at: Duration,
-    failures: u32,
-    spread: f64,
+    failures: i32,
 }
 
 impl Scout {
-    fn act(&mut self, now: Duration, note: ToScout, post: &mut Post) {
+    fn act(&mut self, note: Note, cx: &mut Cx) {
+        let Some(pause) = cx.law.ask_pause else { return };
         match note {
-            ToScout::Answer(Scope::Failed) => {
-                self.subscribed = false;
-                self.failures += 1;
-                self.ask_at = now + secs(0.4 * f64::from(1 << self.failures.min(3)) * self.spread);
+            Note::Told(Event::Nodes { scope: Scope::Failed, .. }) => {
+                (self.subscribed, self.failures) = (false, (self.failures + 1).min(3));
+                self.ask_at = cx.now + secs(0.4 * pause * 2f64.powi(self.failures));
             }
-            ToScout::Answer(Scope::Cached) => {}
-            ToScout::Answer(_) => (self.subscribed, self.failures) = (true, 0),
-            ToScout::Beat => {
-                if self.asks && !self.subscribed && now >= self.ask_at {
-                    self.ask_at = now + secs(4.0 * self.spread);
-                    post.out.push(Action::Subscribe(true));
-                }
+            Note::Told(Event::Nodes { scope: Scope::Full | Scope::Delta, .. }) => {
+                (self.subscribed, self.failures) = (true, 0);
             }
+            Note::Beat if !self.subscribed && cx.now >= self.ask_at => {
+                self.ask_at = cx.now + secs(4.0 * pause);
+                cx.out.push(Action::Subscribe(true));
+            }
+            _ => {}
         }
     }
 }
 
-// ---- the marshal ---------------------------------------------------------------------------------------------
+// ---- the marshal -----------------------------------------------------------------------------------------
 
 pub struct Marshal {
-    post: Post,
+    cx: Cx,
     nodes: Vec<Node>,
     front: Front,
     judge: Judge,
     scout: Scout,
-    soft: Vec<f64>,
-    beat_at: Option<Duration>,
+    beat_at: Duration,
 }
 
 impl Marshal {
-    /// Turns the start terms into the figures that decisions use.
     pub fn new(terms: &RolloutTerms) -> Self {
-        let (release, rules, limits) = (&terms.release, &terms.rules, &terms.limits);
-        let soft: Vec<f64> = terms.methods.iter().map(|m| m.soft_deadline.as_secs_f64()).collect();
-        let marshals = terms.marshals.max(1) as f64;
-        let gate = Gate {
-            methods: terms.methods.iter().map(|m| m.repeat).collect(),
-            caps: release.caps.clone(),
-            window: release.window,
-            free: release.free,
-            by_method: release.by_method,
-            guarded: release.guarded_stages,
-            one_way: release.one_way,
-            most_picks: limits.most_picks,
-            copies: limits.second_copies,
-            cold_from: rules.cold_from,
-            warm_within: rules.warm_within,
-            fall_window: rules.fall_window,
-            fall_budget: COLD_PART * rules.fall_multiple * rules.fall_window.as_secs_f64(),
-            news: None,
-            taken: vec![VecDeque::new(); soft.len()],
-            sent: BTreeMap::new(),
-            cold_sent: BTreeMap::new(),
-            served: 0.0,
-            crossed: BTreeMap::new(),
-        };
-        let tenant = |t: &TenantTerms| Tenant { rate: t.quota / marshals, level: 0.0, at: Duration::ZERO };
-        let front = Front {
-            gate,
-            utility: terms.methods.iter().map(|m| m.utility).collect(),
-            retry_after: limits.retry_after,
-            tenants: terms.tenants.iter().map(tenant).collect(),
-            cards: Vec::new(),
-            rpcs: BTreeMap::new(),
-            waiting: BTreeSet::new(),
-            sent: [0.0; 2],
-            newest: 0,
-            new_first: true,
-            retries: RETRY_MOST,
-            usual: soft.iter().map(|s| s / 6.0).collect(),
-            soft: soft.clone(),
-            oks: 0.0,
-            seed: terms.seed,
-            draws: 0,
-        };
-        let kinds = terms.kinds.max(1);
-        let judge = Judge {
-            soft: soft.clone(),
-            shares: release.shares.clone(),
-            by_votes: release.control == Control::Votes,
-            peers: limits.peers,
-            vote_life: release.vote_life,
-            vote_wait: release.vote_wait,
-            vote_gap: secs((2.0 * marshals / release.vote_rate.max(0.1)).max(0.3)),
-            books: Vec::new(),
-            kinds,
-            past: vec![Ledger::default(); kinds * soft.len()],
-            newest: 0,
-            places: 0.0,
-            news: None,
-            news_at: Duration::ZERO,
-            begun: None,
-            heard: BTreeMap::new(),
-            sums: vec![Pair::default(); soft.len()],
-            cast: None,
-            halved: Duration::ZERO,
-            told: Duration::ZERO,
-            looked: Duration::ZERO,
-        };
-        let spread = 1.0 + terms.marshal as f64 / marshals;
-        let (asks, ask_at) = (terms.ask_discovery, Duration::ZERO);
-        let scout = Scout { asks, subscribed: false, ask_at, failures: 0, spread };
-        Marshal { post: Post::default(), nodes: Vec::new(), front, judge, scout, soft, beat_at: None }
+        let law = Charter::new(terms);
+        let usual = law.duties.iter().map(|d| d.soft / 6.0).collect();
+        let front = Front { usual, new_first: true, retries: RETRIES[1], ..Front::default() };
+        let (count, questions) = (law.kinds * law.duties.len(), law.duties.len());
+        let (past, sums) = (vec![Ledger::default(); count], vec![Pair::default(); questions]);
+        let judge = Judge { past, sums, ..Judge::default() };
+        let boxes = (0..NODES).map(|_| VecDeque::new()).collect();
+        let cx = Cx { now: Duration::ZERO, law, boxes, out: Vec::new() };
+        let (nodes, scout, beat_at) = (Vec::new(), Scout::default(), Duration::ZERO);
+        Marshal { cx, nodes, front, judge, scout, beat_at }
     }
 
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
+        self.cx.now = now;
         for event in events {
             self.sort(event);
-            self.settle(now);
+            self.settle();
         }
-        if self.beat_at.is_none_or(|at| now >= at) {
-            self.beat_at = Some(now + BEAT);
-            self.post.out.push(Action::Wake { after: BEAT, tag: 0 });
-            self.post.nodes.iter_mut().for_each(|inbox| inbox.push_back(ToNode::Beat));
-            self.post.scout.push_back(ToScout::Beat);
-            self.post.judge.push_back(ToJudge::Beat);
-            self.post.front.push_back(ToFront::Beat);
-            self.settle(now);
+        if now >= self.beat_at {
+            self.beat_at = now + BEAT;
+            self.cx.out.push(Action::Wake { after: BEAT, tag: 0 });
+            (0..self.cx.boxes.len()).for_each(|to| self.cx.put(to, Note::Beat));
+            self.settle();
         }
-        std::mem::take(&mut self.post.out)
+        std::mem::take(&mut self.cx.out)
     }
 
     /// Puts an event into the inboxes that it concerns.
     fn sort(&mut self, event: Event) {
-        let post = &mut self.post;
-        match event {
+        let to = match &event {
             Event::Nodes { scope, nodes } => {
-                post.scout.push_back(ToScout::Answer(scope));
-                let named: BTreeSet<NodeIx> = nodes.iter().map(|e| e.node).collect();
-                if matches!(scope, Scope::Full | Scope::Cached) {
-                    for node in self.nodes.iter().filter(|n| n.card.ready && !named.contains(&n.ix)) {
-                        let c = &node.card;
-                        post.nodes[node.ix].push_back(ToNode::Listed(NodeEntry {
-                            node: node.ix,
-                            kind: c.kind,
-                            power: c.power,
-                            cell: c.cell,
-                            zone: c.zone,
-                            readiness: Readiness::Gone,
-                            started: c.started,
-                            build: c.build,
-                        }));
-                    }
+                // What a whole list leaves out is gone.
+                let left = |n: &&Node| nodes.iter().all(|e| e.node != n.card.entry.node);
+                let whole = matches!(scope, Scope::Full | Scope::Cached);
+                for node in self.nodes.iter().filter(|n| whole && n.card.ready).filter(left) {
+                    let gone = NodeEntry { readiness: Readiness::Gone, ..node.card.entry };
+                    self.cx.put(NODES + gone.node, Note::Listed(gone));
                 }
                 for entry in nodes {
                     while self.nodes.len() <= entry.node {
-                        self.nodes.push(Node::new(self.nodes.len(), &self.soft));
-                        post.nodes.push(VecDeque::new());
+                        self.nodes.push(Node::default());
+                        self.cx.boxes.push(VecDeque::new());
                     }
-                    post.nodes[entry.node].push_back(ToNode::Listed(entry));
+                    self.cx.put(NODES + entry.node, Note::Listed(*entry));
                 }
+                SCOUT
             }
-            Event::Rpc { rpc, method, tenant, key, left, .. } => {
-                post.front.push_back(ToFront::Taken { rpc, method, tenant, key, left });
-            }
-            Event::PickEnded { rpc, pick, node, outcome, took, done, .. } => {
-                post.front.push_back(ToFront::Ended { rpc, pick, node, outcome, took, done });
+            Event::PickEnded { node, .. } => {
+                self.cx.put(NODES + node, Note::Told(event.clone()));
+                FRONT
             }
-            Event::StreamBegun { rpc, .. } => post.front.push_back(ToFront::Streaming(rpc)),
-            Event::ClientLeft { rpc } => post.front.push_back(ToFront::Left(rpc)),
-            Event::Stage { build, stage, course, reply, cap, age } => {
-                let news = News { build, stage, course, cap, age };
-                if matches!(reply, VoteReply::Unasked | VoteReply::Counts) {
-                    post.front.push_back(ToFront::News(news));
-                }
-                post.judge.push_back(ToJudge::News(news, reply));
+            Event::Stage { .. } => {
+                self.cx.put(JUDGE, Note::Told(event.clone()));
+                FRONT
             }
-            Event::Sums { build, method, picks, failed, .. } => {
-                let (picks, failed) = (picks.into(), failed.into());
-                post.judge.push_back(ToJudge::Sums { build, method, picks, failed });
-            }
-            Event::Disputed { node, method, age } => {
-                post.judge.push_back(ToJudge::Disputed { node, method, age });
-            }
-            Event::Peer { from, text } => post.judge.push_back(ToJudge::Peer { from, text }),
-            Event::Probed { .. } | Event::Timer { .. } => {}
-        }
+            Event::Rpc { .. } | Event::StreamBegun { .. } | Event::ClientLeft { .. } => FRONT,
+            _ => JUDGE,
+        };
+        self.cx.put(to, Note::Told(event));
     }
 
-    /// Empties the inboxes: nodes, then the judge, the scout and the front, one note at a time.
-    fn settle(&mut self, now: Duration) {
-        loop {
-            let mail = self.post.nodes.iter_mut().zip(&mut self.nodes).find(|(inbox, _)| !inbox.is_empty());
-            if let Some((note, node)) = mail.and_then(|(inbox, node)| Some((inbox.pop_front()?, node))) {
-                node.act(now, note, &mut self.post);
-            } else if let Some(note) = self.post.judge.pop_front() {
-                self.judge.act(now, note, &mut self.post);
-            } else if let Some(note) = self.post.scout.pop_front() {
-                self.scout.act(now, note, &mut self.post);
-            } else if let Some(note) = self.post.front.pop_front() {
-                self.front.act(now, note, &mut self.post);
-            } else {
-                return;
+    /// Empties the inboxes, one note at a time: nodes, then scout, judge and front.
+    fn settle(&mut self) {
+        while let Some(to) = self.cx.boxes.iter().rposition(|inbox| !inbox.is_empty()) {
+            let Some(note) = self.cx.boxes[to].pop_front() else { return };
+            match to {
+                FRONT => self.front.act(note, &mut self.cx),
+                JUDGE => self.judge.act(note, &mut self.cx),
+                SCOUT => self.scout.act(note, &mut self.cx),
+                _ => self.nodes[to - NODES].act(note, &mut self.cx),
             }
         }
     }
--- a/src/port.rs
+++ b/src/port.rs
@@ -128,14 +128,15 @@
     pub limits: LimitTerms,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Readiness {
     Ready,
     Draining,
+    #[default]
     Gone,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct NodeEntry {
     pub node: NodeIx,
     pub kind: usize,
