Judge payoff with the design's variance; trim a quarter of each arm's nodes

Trimming should hold against any trouble of single machines; it delays a verdict on rare failures. Types and plumbing moved to state.rs; no decision there.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod policy;
 pub mod port;
+mod state;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,12 +3,11 @@
 //! Each node is a small actor; front (RPCs), judge (builds, votes) and scout (the list) are the other parts.
 //! They talk only by notes in inboxes, which the loop in `Marshal::settle` empties: nodes first, front last.
 
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
 use crate::port::*;
+use crate::state::*;
 
 /// Waits and silences are looked at every beat, verdicts every look.
 const BEAT: Duration = Duration::from_millis(20);
@@ -27,7 +26,9 @@
 /// Records are halved this often, so that trouble which starts late shows.
 const HALVE: Duration = Duration::from_secs(5);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
-const MARGIN: [f64; 4] = [0.05, 0.01, 0.15, 0.25];
+const MARGIN: [f64; 4] = [0.05, 0.01, 0.2, 0.25];
+/// How long a released build must look late or slow before it is voted back for that.
+const STRAIN: Duration = Duration::from_secs(8);
 /// A node failing more than this share of its outcomes is suspect itself, whatever its build.
 const SUSPECT: f64 = 0.3;
 /// Peers' counts older than this say nothing.
@@ -40,7 +41,6 @@
 const FIRST_LIMIT: f64 = 4.0;
 /// An RPC is given up when fewer than this many usual times are left before its soft deadline.
 const SPARE: f64 = 1.5;
-const BINS: usize = 16;
 
 fn secs(s: f64) -> Duration {
     Duration::from_secs_f64(s.max(0.0))
@@ -52,31 +52,9 @@
     (2.0 * var / n * (3.0 * n.ln().powi(2) / DELTA).ln()).sqrt()
 }
 
-/// A two-bin histogram: all outcomes, and those that paid.
-#[derive(Clone, Copy, Default)]
-struct Tally {
-    n: f64,
-    good: f64,
-}
-
-impl Tally {
-    fn add(&mut self, other: Tally, part: f64) {
-        *self = Tally { n: self.n + part * other.n, good: self.good + part * other.good };
-    }
-    fn mean(&self) -> f64 {
-        self.good / self.n.max(1e-9)
-    }
-    /// mean + α·ε, with the design's σ² of 1/4; an arm short of the least sample ranks first.
-    fn index(&self) -> f64 {
-        self.mean() + if self.n < LEAST_SAMPLE { f64::INFINITY } else { ALPHA * width(self.n, 0.25) }
-    }
-}
-
-/// New and old arm on one question.
-type Pair = [Tally; 2];
-
-fn join(a: &mut Pair, b: &Pair) {
-    a.iter_mut().zip(b).for_each(|(a, b)| a.add(*b, 1.0));
+/// mean + α·ε, with the design's σ² of 1/4; an arm short of the least sample ranks first.
+fn index(t: Tally) -> f64 {
+    t.mean() + if t.n < LEAST_SAMPLE { f64::INFINITY } else { ALPHA * width(t.n, 0.25) }
 }
 
 /// Arm `a` lies below arm `b` by more than the margin and the given part of both widths. σ² is what outcomes
@@ -86,47 +64,6 @@
     a.n.min(b.n) >= LEAST_SAMPLE && a.mean() + eps(a) < b.mean() - eps(b) - margin
 }
 
-/// The figures that decisions use, derived from the start terms.
-struct Charter {
-    duties: Vec<Duty>,
-    least_soft: f64,
-    exposure: Exposure,
-    most_picks: usize,
-    copies: bool,
-    retry_after: Option<Duration>,
-    cold_from: f64,
-    warming: Duration,
-    fall_window: Duration,
-    fall_budget: f64,
-    by_votes: bool,
-    shares: Vec<f64>,
-    vote_life: Duration,
-    vote_wait: Duration,
-    vote_gap: Duration,
-    peers: bool,
-    kinds: usize,
-    ask_pause: Option<f64>,
-    seed: u64,
-}
-
-/// What is owed to a method's RPCs.
-struct Duty {
-    repeat: Repeat,
-    soft: f64,
-    /// Earlier place among those that wait, for more utility.
-    head_start: Duration,
-    /// Where exposure counts this method.
-    slot: usize,
-}
-
-struct Exposure {
-    first_cap: f64,
-    window: Duration,
-    free: f64,
-    guarded: usize,
-    one_way: bool,
-}
-
 impl Charter {
     fn new(terms: &RolloutTerms) -> Self {
         let (release, rules, limits) = (&terms.release, &terms.rules, &terms.limits);
@@ -163,54 +100,6 @@
     }
 }
 
-// ---- inboxes ---------------------------------------------------------------------------------------------
-
-const FRONT: usize = 0;
-const JUDGE: usize = 1;
-const SCOUT: usize = 2;
-const NODES: usize = 3;
-
-enum Note {
-    Told(Event),
-    Listed(NodeEntry),
-    Sent { rpc: RpcIx, pick: usize, method: usize },
-    Card(Card),
-    Booked { entry: NodeEntry, method: usize, outcome: Outcome, took: f64 },
-    Favour { newest: Build, new_first: bool },
-    Pump,
-    Beat,
-}
-
-/// What every part is handed: the hour, the law, the inboxes and what goes out.
-struct Cx {
-    now: Duration,
-    law: Charter,
-    boxes: Vec<VecDeque<Note>>,
-    out: Vec<Action>,
-}
-
-impl Cx {
-    fn put(&mut self, to: usize, note: Note) {
-        self.boxes[to].push_back(note);
-    }
-    fn age(&self, entry: &NodeEntry) -> Duration {
-        entry.started.map_or(Duration::MAX, |at| self.now.saturating_sub(at))
-    }
-}
-
-/// What a node shows of itself.
-#[derive(Clone, Copy, Default)]
-struct Card {
-    entry: NodeEntry,
-    ready: bool,
-    in_flight: usize,
-    limit: f64,
-    /// Expected time of one RPC here, in seconds, worse for a failing node.
-    pace: f64,
-    resting: bool,
-    gentle: bool,
-}
-
 // ---- node ------------------------------------------------------------------------------------------------
 
 #[derive(Default)]
@@ -297,24 +186,6 @@
 
 // ---- gate: the one place that every send passes ----------------------------------------------------------
 
-#[derive(Clone, Copy)]
-struct News {
-    build: Build,
-    stage: usize,
-    course: Course,
-    cap: f64,
-    launched: Duration,
-}
-
-impl News {
-    fn read(cx: &Cx, event: &Event) -> Option<(News, VoteReply)> {
-        let &Event::Stage { build, stage, course, reply, cap, age } = event else { return None };
-        Some((News { build, stage, course, cap, launched: cx.now.saturating_sub(age) }, reply))
-    }
-}
-
-type Times = VecDeque<Duration>;
-
 #[derive(Default)]
 struct Gate {
     news: Option<News>,
@@ -327,10 +198,6 @@
     crossed: BTreeMap<u64, Build>,
 }
 
-fn recent(times: Option<&Times>, now: Duration, window: Duration) -> f64 {
-    times.map_or(0, |t| t.iter().rev().take_while(|&&at| at + window > now).count()) as f64
-}
-
 impl Gate {
     /// Stage and cap if the build is on trial for this marshal; an unannounced one counts as in stage 0.
     fn trial(&self, cx: &Cx, build: Build) -> Option<(usize, f64)> {
@@ -423,35 +290,8 @@
     }
 }
 
-fn power(entry: &NodeEntry) -> f64 {
-    if entry.power > 0.0 {
-        entry.power
-    } else {
-        1.0
-    }
-}
-
 // ---- front: RPCs, picks, waits ---------------------------------------------------------------------------
 
-struct Pick {
-    entry: NodeEntry,
-    at: Duration,
-    out: bool,
-    never_ran: bool,
-}
-
-struct Rpc {
-    method: usize,
-    key: Option<u64>,
-    /// By when an answer earns in full, and by when any answer is owed.
-    soft: Duration,
-    until: Duration,
-    picks: Vec<Pick>,
-    streaming: bool,
-    /// An earlier pick failed on the build on trial.
-    burnt: bool,
-}
-
 #[derive(Default)]
 struct Front {
     gate: Gate,
@@ -534,13 +374,6 @@
         }
     }
 
-    fn chance(&mut self, cx: &Cx) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        (cx.law.seed, self.draws).hash(&mut hasher);
-        self.draws += 1;
-        hasher.finish()
-    }
-
     /// Place among those that wait: by soft deadline, earlier for more utility.
     fn rank(&self, rpc: RpcIx, cx: &Cx) -> Option<(Duration, RpcIx)> {
         let r = self.rpcs.get(&rpc)?;
@@ -629,7 +462,8 @@
     fn send(&mut self, rpc: RpcIx, cx: &mut Cx) -> bool {
         let Some((arm, fit)) = self.rpcs.get(&rpc).and_then(|r| self.choices(r, cx)) else { return false };
         self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
-        let draw = self.chance(cx);
+        self.draws += 1;
+        let draw = chance(cx.law.seed, self.draws);
         let (a, b) = (&fit[draw as usize % fit.len()], &fit[(draw >> 32) as usize % fit.len()]);
         let cost = |c: &Card| (c.in_flight + 1) as f64 * c.pace;
         let entry = if cost(b) < cost(a) { b.entry } else { a.entry };
@@ -652,45 +486,6 @@
 
 // ---- judge: arms, verdicts, votes ------------------------------------------------------------------------
 
-/// One method's ledgers: payoff, soundness (no error, no flag), and times of ok answers in coarse bins.
-#[derive(Clone, Copy, Default)]
-struct Ledger {
-    paid: Tally,
-    sound: Tally,
-    times: [f64; BINS],
-}
-
-impl Ledger {
-    fn add(&mut self, other: &Ledger, part: f64) {
-        self.paid.add(other.paid, part);
-        self.sound.add(other.sound, part);
-        self.times.iter_mut().zip(other.times).for_each(|(a, b)| *a += part * b);
-    }
-    fn halve(&mut self) {
-        let whole = *self;
-        self.add(&whole, -0.5);
-    }
-}
-
-#[derive(Clone, Default)]
-struct Book {
-    entry: NodeEntry,
-    ready: bool,
-    methods: Vec<Ledger>,
-}
-
-impl Book {
-    fn suspect(&self) -> bool {
-        let mut all = Tally::default();
-        self.methods.iter().for_each(|l| all.add(l.sound, 1.0));
-        all.n >= 4.0 && 1.0 - all.mean() > SUSPECT
-    }
-    fn add_to(&self, sums: &mut [Ledger]) {
-        let first = self.entry.kind * self.methods.len();
-        self.methods.iter().zip(&mut sums[first..]).for_each(|(ledger, sum)| sum.add(ledger, 1.0));
-    }
-}
-
 #[derive(Default)]
 struct Judge {
     books: Vec<Book>,
@@ -704,6 +499,8 @@
     sums: Vec<Pair>,
     /// The last vote, when it was sent, and whether it is known to count.
     cast: Option<((Verdict, usize, Build), Duration, bool)>,
+    /// Since when a released build has looked late or slow.
+    strained: Option<Duration>,
     halved: Duration,
     told: Duration,
     looked: Duration,
@@ -725,8 +522,8 @@
                 if cx.age(&entry) >= YOUNG && !outcome.never_ran() && outcome != Outcome::Cancelled {
                     ledger.paid.add(one(ok && took <= soft), 1.0);
                     // Bins by half powers of two, the last but two ending at the soft deadline.
-                    let bin = (took / soft).max(1e-9).log2() * 2.0 + (BINS - 3) as f64;
-                    ledger.times[bin.clamp(0.0, (BINS - 1) as f64) as usize] += one(ok).good;
+                    let bin = (took / soft).max(1e-9).log2() * 2.0 + (ledger.times.len() - 3) as f64;
+                    ledger.times[bin.clamp(0.0, 15.0) as usize] += one(ok).good;
                 }
             }
             Note::Told(Event::Disputed { node, method, age }) => {
@@ -796,22 +593,27 @@
         self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
-    /// An arm's ledgers by kind and method, its suspect nodes left out where they are the minority, or where
-    /// nodes of the other arm are suspect too: trouble on nodes of both builds convicts neither.
-    fn arm(&self, new: bool, mut sums: Vec<Ledger>, other_suspects: bool) -> (Vec<Ledger>, usize, bool) {
+    /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most, and one more where
+    /// a node of the other arm fails too: trouble that strikes a few nodes, whatever their build, convicts no
+    /// build. Guards against quick errors, crashes and wrong answers of single machines; it delays the verdict on
+    /// a build whose failures are rare.
+    fn arm(&self, new: bool, mut sums: Vec<Ledger>, spare: usize) -> (Vec<Ledger>, usize, bool) {
+        let faults = |b: &Book| b.methods.iter().map(|l| l.sound.n - l.sound.good).sum::<f64>();
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
-        let nodes = self.books.iter().filter(mine).count();
-        let suspects = self.books.iter().filter(mine).filter(|b| b.suspect()).count();
-        let leave_out = 2 * suspects < nodes || (other_suspects && suspects <= 1 + nodes / 2);
-        let count = |b: &&Book| mine(b) && !(leave_out && b.suspect());
-        self.books.iter().filter(count).for_each(|b| b.add_to(&mut sums));
-        (sums, nodes, suspects > 0)
+        let mut books: Vec<&Book> = self.books.iter().filter(mine).collect();
+        books.sort_by(|a, b| faults(b).total_cmp(&faults(a)).then(a.entry.node.cmp(&b.entry.node)));
+        let suspect = books.first().is_some_and(|b| {
+            let all = b.methods.iter().map(|l| l.sound.n).sum::<f64>();
+            all >= 4.0 && faults(b) > SUSPECT * all
+        });
+        books.iter().skip(books.len() / 4 + spare).for_each(|b| b.add_to(&mut sums));
+        (sums, books.len(), suspect)
     }
 
     /// The questions asked of both arms: payoff, soundness by method, pace; and how many nodes are on trial.
     fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
-        let (old, _, old_suspects) = self.arm(false, self.past.clone(), false);
-        let (new, nodes, _) = self.arm(true, vec![Ledger::default(); self.past.len()], old_suspects);
+        let (old, _, suspect) = self.arm(false, self.past.clone(), 0);
+        let (new, nodes, _) = self.arm(true, vec![Ledger::default(); self.past.len()], usize::from(suspect));
         let count = cx.law.duties.len();
         let mut pairs = vec![Pair::default(); count + 2];
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
@@ -844,7 +646,7 @@
             self.sums.iter_mut().flatten().for_each(|t| t.add(*t, -0.5));
         }
         let (mut pairs, nodes) = self.own_pairs(cx);
-        let new_first = pairs[0][0].index() >= pairs[0][1].index();
+        let new_first = index(pairs[0][0]) >= index(pairs[0][1]);
         cx.put(FRONT, Note::Favour { newest: self.newest, new_first });
         if cx.law.peers && cx.now >= self.told + 5 * LOOK && pairs.iter().any(|p| p[0].n >= 1.0) {
             self.told = cx.now;
@@ -866,21 +668,26 @@
         if !released && news.course != Course::OnTrial {
             return;
         }
-        // Questions in order: soundness by method, soundness of all, payoff, pace.
+        // Questions in order: soundness by method, soundness of all, payoff, pace; with margin and variance.
         let (mut sound, payoff) = (Pair::default(), pairs.remove(0));
         let pace = pairs.pop().unwrap_or_default();
         pairs.iter().for_each(|p| join(&mut sound, p));
+        let var = |p: &Pair| p[1].mean() * (1.0 - p[1].mean());
         let slower = MARGIN[2] + MARGIN[3] / (nodes.max(1) as f64).sqrt();
-        let mut asked: Vec<(Pair, f64)> = pairs.into_iter().chain([sound]).map(|p| (p, MARGIN[1])).collect();
-        if !released {
-            // After release no other arm shares the day's troubles: only soundness is held against the build.
-            asked.extend([(payoff, MARGIN[0]), (pace, slower)]);
+        let asked: Vec<(Pair, f64, f64)> = (pairs.iter().chain([&sound]))
+            .map(|p| (*p, MARGIN[1], var(p)))
+            .chain([(payoff, MARGIN[0], 0.25), (pace, slower, var(&pace))])
+            .collect();
+        let last = asked.len() - 2;
+        let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v));
+        // After release no other arm shares the day's troubles: lateness and slowness must last to be held
+        // against the build.
+        let strained = released && worse(1.0).is_some_and(|q| q >= last);
+        self.strained = strained.then(|| self.strained.unwrap_or(cx.now));
+        if self.strained.is_some_and(|since| cx.now < since + STRAIN) {
+            return;
         }
-        let worse = |part: f64| {
-            let var = |old: Tally| old.mean() * (1.0 - old.mean());
-            asked.iter().position(|([new, old], margin)| below(*new, *old, *margin, part, var(*old)))
-        };
-        let better = below(payoff[1], payoff[0], 0.0, 1.0, payoff[1].mean() * (1.0 - payoff[1].mean()));
+        let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
         let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
         let ripe = better || self.begun(news, cx).is_some_and(|at| cx.now >= at + wait);
         let verdict = match (worse(1.0), worse(0.4)) {
@@ -924,7 +731,7 @@
             }
         }
         let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
-        let due = (cx.law.shares.get(news.stage)? * self.places * 0.9).floor().max(1.0);
+        let due = (cx.law.shares.get(news.stage)? * self.places).round().max(1.0);
         let all = trial.clone().count() as f64 >= due;
         let last =
             trial.filter_map(|b| b.entry.started).max().filter(|_| all).map(|at| at.max(news.launched));
@@ -934,21 +741,6 @@
     }
 }
 
-/// Counts for peers: the build, then four counts a question. Loss and repetition do no harm.
-fn write_pairs(build: Build, pairs: &[Pair]) -> Vec<u8> {
-    let counts = pairs.iter().flatten().flat_map(|t| [t.n, t.good]);
-    let words = [build as u16].into_iter().chain(counts.map(|x| x.clamp(0.0, 65535.0) as u16));
-    words.flat_map(u16::to_le_bytes).collect()
-}
-
-fn read_pairs(text: &[u8]) -> Option<(Build, Vec<Pair>)> {
-    let words: Vec<u16> = text.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
-    let (build, rest) = words.split_first()?;
-    let tally = |n: u16, good: u16| Tally { n: n.into(), good: good.min(n).into() };
-    let pairs = rest.chunks_exact(4).map(|w| [tally(w[0], w[1]), tally(w[2], w[3])]);
-    Some(((*build).into(), pairs.collect()))
-}
-
 // ---- scout: the list of nodes, where it must be asked for ------------------------------------------------
 
 #[derive(Default)]
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,224 @@
+//! What the parts of the module keep and pass round: plain state, notes and inboxes, histograms, and the
+//! codec of the peers' counts. No decision and no tuned value is made here; they are all in `policy.rs`.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use crate::port::*;
+
+/// A two-bin histogram: all outcomes, and those that paid.
+#[derive(Clone, Copy, Default)]
+pub struct Tally {
+    pub n: f64,
+    pub good: f64,
+}
+
+impl Tally {
+    pub fn add(&mut self, other: Tally, part: f64) {
+        *self = Tally { n: self.n + part * other.n, good: self.good + part * other.good };
+    }
+    pub fn mean(&self) -> f64 {
+        self.good / self.n.max(1e-9)
+    }
+}
+
+/// New and old arm on one question.
+pub type Pair = [Tally; 2];
+
+pub fn join(a: &mut Pair, b: &Pair) {
+    a.iter_mut().zip(b).for_each(|(a, b)| a.add(*b, 1.0));
+}
+
+/// The figures that decisions use, derived from the start terms.
+pub struct Charter {
+    pub duties: Vec<Duty>,
+    pub least_soft: f64,
+    pub exposure: Exposure,
+    pub most_picks: usize,
+    pub copies: bool,
+    pub retry_after: Option<Duration>,
+    pub cold_from: f64,
+    pub warming: Duration,
+    pub fall_window: Duration,
+    pub fall_budget: f64,
+    pub by_votes: bool,
+    pub shares: Vec<f64>,
+    pub vote_life: Duration,
+    pub vote_wait: Duration,
+    pub vote_gap: Duration,
+    pub peers: bool,
+    pub kinds: usize,
+    pub ask_pause: Option<f64>,
+    pub seed: u64,
+}
+
+/// What is owed to a method's RPCs.
+pub struct Duty {
+    pub repeat: Repeat,
+    pub soft: f64,
+    /// Earlier place among those that wait, for more utility.
+    pub head_start: Duration,
+    /// Where exposure counts this method.
+    pub slot: usize,
+}
+
+pub struct Exposure {
+    pub first_cap: f64,
+    pub window: Duration,
+    pub free: f64,
+    pub guarded: usize,
+    pub one_way: bool,
+}
+
+pub const FRONT: usize = 0;
+pub const JUDGE: usize = 1;
+pub const SCOUT: usize = 2;
+pub const NODES: usize = 3;
+
+pub enum Note {
+    Told(Event),
+    Listed(NodeEntry),
+    Sent { rpc: RpcIx, pick: usize, method: usize },
+    Card(Card),
+    Booked { entry: NodeEntry, method: usize, outcome: Outcome, took: f64 },
+    Favour { newest: Build, new_first: bool },
+    Pump,
+    Beat,
+}
+
+/// What every part is handed: the hour, the law, the inboxes and what goes out.
+pub struct Cx {
+    pub now: Duration,
+    pub law: Charter,
+    pub boxes: Vec<VecDeque<Note>>,
+    pub out: Vec<Action>,
+}
+
+impl Cx {
+    pub fn put(&mut self, to: usize, note: Note) {
+        self.boxes[to].push_back(note);
+    }
+    pub fn age(&self, entry: &NodeEntry) -> Duration {
+        entry.started.map_or(Duration::MAX, |at| self.now.saturating_sub(at))
+    }
+}
+
+/// What a node shows of itself.
+#[derive(Clone, Copy, Default)]
+pub struct Card {
+    pub entry: NodeEntry,
+    pub ready: bool,
+    pub in_flight: usize,
+    pub limit: f64,
+    /// Expected time of one RPC here, in seconds, worse for a failing node.
+    pub pace: f64,
+    pub resting: bool,
+    pub gentle: bool,
+}
+
+#[derive(Clone, Copy)]
+pub struct News {
+    pub build: Build,
+    pub stage: usize,
+    pub course: Course,
+    pub cap: f64,
+    pub launched: Duration,
+}
+
+impl News {
+    pub fn read(cx: &Cx, event: &Event) -> Option<(News, VoteReply)> {
+        let &Event::Stage { build, stage, course, reply, cap, age } = event else { return None };
+        Some((News { build, stage, course, cap, launched: cx.now.saturating_sub(age) }, reply))
+    }
+}
+
+pub type Times = VecDeque<Duration>;
+
+pub fn recent(times: Option<&Times>, now: Duration, window: Duration) -> f64 {
+    times.map_or(0, |t| t.iter().rev().take_while(|&&at| at + window > now).count()) as f64
+}
+
+pub fn power(entry: &NodeEntry) -> f64 {
+    if entry.power > 0.0 {
+        entry.power
+    } else {
+        1.0
+    }
+}
+
+pub struct Pick {
+    pub entry: NodeEntry,
+    pub at: Duration,
+    pub out: bool,
+    pub never_ran: bool,
+}
+
+pub struct Rpc {
+    pub method: usize,
+    pub key: Option<u64>,
+    /// By when an answer earns in full, and by when any answer is owed.
+    pub soft: Duration,
+    pub until: Duration,
+    pub picks: Vec<Pick>,
+    pub streaming: bool,
+    /// An earlier pick failed on the build on trial.
+    pub burnt: bool,
+}
+
+/// One method's ledgers: payoff, soundness (no error, no flag), and times of ok answers in coarse bins.
+#[derive(Clone, Copy, Default)]
+pub struct Ledger {
+    pub paid: Tally,
+    pub sound: Tally,
+    pub times: [f64; 16],
+}
+
+impl Ledger {
+    pub fn add(&mut self, other: &Ledger, part: f64) {
+        self.paid.add(other.paid, part);
+        self.sound.add(other.sound, part);
+        self.times.iter_mut().zip(other.times).for_each(|(a, b)| *a += part * b);
+    }
+    pub fn halve(&mut self) {
+        let whole = *self;
+        self.add(&whole, -0.5);
+    }
+}
+
+#[derive(Clone, Default)]
+pub struct Book {
+    pub entry: NodeEntry,
+    pub ready: bool,
+    pub methods: Vec<Ledger>,
+}
+
+impl Book {
+    pub fn add_to(&self, sums: &mut [Ledger]) {
+        let first = self.entry.kind * self.methods.len();
+        self.methods.iter().zip(&mut sums[first..]).for_each(|(ledger, sum)| sum.add(ledger, 1.0));
+    }
+}
+
+/// Counts for peers: the build, then four counts a question. Loss and repetition do no harm.
+pub fn write_pairs(build: Build, pairs: &[Pair]) -> Vec<u8> {
+    let counts = pairs.iter().flatten().flat_map(|t| [t.n, t.good]);
+    let words = [build as u16].into_iter().chain(counts.map(|x| x.clamp(0.0, 65535.0) as u16));
+    words.flat_map(u16::to_le_bytes).collect()
+}
+
+pub fn read_pairs(text: &[u8]) -> Option<(Build, Vec<Pair>)> {
+    let words: Vec<u16> = text.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
+    let (build, rest) = words.split_first()?;
+    let tally = |n: u16, good: u16| Tally { n: n.into(), good: good.min(n).into() };
+    let pairs = rest.chunks_exact(4).map(|w| [tally(w[0], w[1]), tally(w[2], w[3])]);
+    Some(((*build).into(), pairs.collect()))
+}
+
+/// Chance: the hash of the seed and a counter.
+pub fn chance(seed: u64, draw: u64) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, draw).hash(&mut hasher);
+    hasher.finish()
+}
