Count payoff only for picks sent to nodes past 5 s; excuse ill nodes of both builds

Cause, from the first incidents: picks sent to cold nodes but answered later counted against the build; the platform's sums count full and cold nodes as failures; trouble that struck the one node on trial convicted its build. Hurts when a bad build meets fleet trouble: its verdict waits.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,8 +29,6 @@
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.2, 0.25];
 /// How long a released build must look late or slow before it is voted back for that.
 const STRAIN: Duration = Duration::from_secs(8);
-/// A node failing more than this share of its outcomes is suspect itself, whatever its build.
-const SUSPECT: f64 = 0.3;
 /// Peers' counts older than this say nothing.
 const FRESH: Duration = Duration::from_secs(3);
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
@@ -39,6 +37,7 @@
 const RETRIES: [f64; 2] = [0.2, 20.0];
 /// A node's first limit on own picks in flight.
 const FIRST_LIMIT: f64 = 4.0;
+const COLD_LIMIT: f64 = 2.0;
 /// An RPC is given up when fewer than this many usual times are left before its soft deadline.
 const SPARE: f64 = 1.5;
 
@@ -122,16 +121,16 @@
                     // A new process: what the earlier one did says nothing of it.
                     let out = std::mem::take(&mut self.out);
                     *self = Node { out, took: cx.law.least_soft / 6.0, ..Node::default() };
-                    self.card.limit = FIRST_LIMIT;
+                    self.card.limit = if entry.started.is_some() { COLD_LIMIT } else { FIRST_LIMIT };
                 }
                 (self.card.ready, self.card.entry) = (entry.readiness == Readiness::Ready, entry);
             }
             Note::Sent { rpc, pick, method } => self.out.push((rpc, pick, method, cx.now, self.card.entry)),
             Note::Told(Event::PickEnded { rpc, pick, outcome, took, .. }) => {
                 if let Some(i) = self.out.iter().position(|o| (o.0, o.1) == (rpc, pick)) {
-                    let ((.., method, _, entry), took) = (self.out.swap_remove(i), took.as_secs_f64());
+                    let ((.., method, at, entry), took) = (self.out.swap_remove(i), took.as_secs_f64());
                     self.learn(cx.now, cx.law.duties[method].soft, outcome, took);
-                    cx.put(JUDGE, Note::Booked { entry, method, outcome, took });
+                    cx.put(JUDGE, Note::Booked { entry, method, at, outcome, took });
                 }
             }
             _ => {}
@@ -491,12 +490,14 @@
     books: Vec<Book>,
     /// What older builds did on nodes that are gone, by kind and method.
     past: Vec<Ledger>,
+    /// What the earlier build did before the present trial.
+    before: Vec<Ledger>,
     newest: Build,
     places: f64,
     news: Option<News>,
     begun: Option<(Build, usize, Duration)>,
     heard: BTreeMap<usize, (Duration, Build, Vec<Pair>)>,
-    sums: Vec<Pair>,
+    sums: Pair,
     /// The last vote, when it was sent, and whether it is known to count.
     cast: Option<((Verdict, usize, Build), Duration, bool)>,
     /// Since when a released build has looked late or slow.
@@ -510,7 +511,10 @@
     fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
             Note::Card(card) => self.listed(&card, cx),
-            Note::Booked { entry, method, outcome, took } => {
+            Note::Booked { entry, method, at, outcome, took } => {
+                if self.excused(&entry) {
+                    return;
+                }
                 let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
                 let Some(book) = self.books.get_mut(entry.node).filter(same) else { return };
                 let (soft, ledger, ok) =
@@ -519,7 +523,10 @@
                 if matches!(outcome, Outcome::Ok | Outcome::Error) {
                     ledger.sound.add(one(ok), 1.0);
                 }
-                if cx.age(&entry) >= YOUNG && !outcome.never_ran() && outcome != Outcome::Cancelled {
+                if entry.started.is_none_or(|start| at >= start + YOUNG)
+                    && !outcome.never_ran()
+                    && outcome != Outcome::Cancelled
+                {
                     ledger.paid.add(one(ok && took <= soft), 1.0);
                     // Bins by half powers of two, the last but two ending at the soft deadline.
                     let bin = (took / soft).max(1e-9).log2() * 2.0 + (ledger.times.len() - 3) as f64;
@@ -534,9 +541,9 @@
                     ledger.sound.good = (ledger.sound.good - 1.0).max(0.0);
                 }
             }
-            Note::Told(Event::Sums { build, method, picks, failed, .. }) if build <= self.newest => {
+            Note::Told(Event::Sums { build, picks, failed, .. }) if build <= self.newest => {
                 let sum = Tally { n: picks.into(), good: picks.saturating_sub(failed).into() };
-                self.sums[method][usize::from(build != self.newest)].add(sum, 1.0);
+                self.sums[usize::from(build != self.newest)].add(sum, 1.0);
             }
             Note::Told(Event::Peer { from, text }) => {
                 self.heard.extend(read_pairs(&text).map(|(build, pairs)| (from, (cx.now, build, pairs))));
@@ -569,7 +576,7 @@
             }
             book.methods = blank.methods;
         }
-        (book.entry, book.ready) = (card.entry, card.ready);
+        (book.entry, book.ready, book.ill) = (card.entry, card.ready, card.gentle || card.resting);
         book.entry.kind = card.entry.kind.min(cx.law.kinds - 1);
         if card.ready {
             self.newer(card.entry.build);
@@ -586,34 +593,42 @@
         if released {
             self.past.fill(Ledger::default());
         }
+        self.before = self.arm(released, self.past.clone()).0;
         let void = |b: &&mut Book| b.entry.build == build || (b.entry.build == self.newest && !released);
         self.books.iter_mut().filter(void).for_each(|b| b.methods.fill(Ledger::default()));
         self.newest = build;
-        self.sums.fill(Pair::default());
+        self.sums = Pair::default();
         self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
-    /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most, and one more where
-    /// a node of the other arm fails too: trouble that strikes a few nodes, whatever their build, convicts no
-    /// build. Guards against quick errors, crashes and wrong answers of single machines; it delays the verdict on
-    /// a build whose failures are rare.
-    fn arm(&self, new: bool, mut sums: Vec<Ledger>, spare: usize) -> (Vec<Ledger>, usize, bool) {
+    /// While nodes of both builds fail, what an ill node on trial does is not held against its build, unless
+    /// most nodes on trial are ill. Guards against fleet trouble that strikes the few nodes on trial as well.
+    fn excused(&self, entry: &NodeEntry) -> bool {
+        let trial = |b: &&Book| b.ready && b.entry.build == self.newest;
+        let nodes = self.books.iter().filter(trial).count();
+        let ill = self.books.iter().filter(trial).filter(|b| b.ill).count();
+        let others = self.books.iter().any(|b| b.ready && b.ill && b.entry.build != self.newest);
+        others && entry.build == self.newest && self.books[entry.node].ill && 2 * ill <= nodes + 1
+    }
+
+    /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble that
+    /// strikes a few nodes, whatever their build, convicts no build. Guards against quick errors, crashes and
+    /// wrong answers of single machines; it delays the verdict on a build whose failures are rare.
+    fn arm(&self, new: bool, mut sums: Vec<Ledger>) -> (Vec<Ledger>, usize) {
         let faults = |b: &Book| b.methods.iter().map(|l| l.sound.n - l.sound.good).sum::<f64>();
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
         let mut books: Vec<&Book> = self.books.iter().filter(mine).collect();
         books.sort_by(|a, b| faults(b).total_cmp(&faults(a)).then(a.entry.node.cmp(&b.entry.node)));
-        let suspect = books.first().is_some_and(|b| {
-            let all = b.methods.iter().map(|l| l.sound.n).sum::<f64>();
-            all >= 4.0 && faults(b) > SUSPECT * all
-        });
-        books.iter().skip(books.len() / 4 + spare).for_each(|b| b.add_to(&mut sums));
-        (sums, books.len(), suspect)
+        books.iter().skip(books.len() / 4).for_each(|b| b.add_to(&mut sums));
+        (sums, books.len())
     }
 
     /// The questions asked of both arms: payoff, soundness by method, pace; and how many nodes are on trial.
     fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
-        let (old, _, suspect) = self.arm(false, self.past.clone(), 0);
-        let (new, nodes, _) = self.arm(true, vec![Ledger::default(); self.past.len()], usize::from(suspect));
+        // A released build is watched against what the earlier one did before the trial.
+        let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
+        let old = if released { self.before.clone() } else { self.arm(false, self.past.clone()).0 };
+        let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()]);
         let count = cx.law.duties.len();
         let mut pairs = vec![Pair::default(); count + 2];
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
@@ -643,7 +658,7 @@
             if self.books.iter().any(|b| b.ready && b.entry.build < self.newest) {
                 self.past.iter_mut().for_each(Ledger::halve);
             }
-            self.sums.iter_mut().flatten().for_each(|t| t.add(*t, -0.5));
+            self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
         }
         let (mut pairs, nodes) = self.own_pairs(cx);
         let new_first = index(pairs[0][0]) >= index(pairs[0][1]);
@@ -658,7 +673,8 @@
                 pairs.iter_mut().zip(theirs).for_each(|(a, b)| join(a, b));
             }
         }
-        self.sums.iter().enumerate().for_each(|(m, sums)| join(&mut pairs[1 + m], sums));
+        // The platform counts full and cold nodes as failures too, so its sums speak of payoff, not of soundness.
+        join(&mut pairs[0], &self.sums);
         self.vote(pairs, nodes, cx);
     }
 
@@ -786,9 +802,8 @@
         let law = Charter::new(terms);
         let usual = law.duties.iter().map(|d| d.soft / 6.0).collect();
         let front = Front { usual, new_first: true, retries: RETRIES[1], ..Front::default() };
-        let (count, questions) = (law.kinds * law.duties.len(), law.duties.len());
-        let (past, sums) = (vec![Ledger::default(); count], vec![Pair::default(); questions]);
-        let judge = Judge { past, sums, ..Judge::default() };
+        let past = vec![Ledger::default(); law.kinds * law.duties.len()];
+        let judge = Judge { before: past.clone(), past, ..Judge::default() };
         let boxes = (0..NODES).map(|_| VecDeque::new()).collect();
         let cx = Cx { now: Duration::ZERO, law, boxes, out: Vec::new() };
         let (nodes, scout, beat_at) = (Vec::new(), Scout::default(), Duration::ZERO);
--- a/src/state.rs
+++ b/src/state.rs
@@ -82,7 +82,7 @@
     Listed(NodeEntry),
     Sent { rpc: RpcIx, pick: usize, method: usize },
     Card(Card),
-    Booked { entry: NodeEntry, method: usize, outcome: Outcome, took: f64 },
+    Booked { entry: NodeEntry, method: usize, at: Duration, outcome: Outcome, took: f64 },
     Favour { newest: Build, new_first: bool },
     Pump,
     Beat,
@@ -191,6 +191,8 @@
 pub struct Book {
     pub entry: NodeEntry,
     pub ready: bool,
+    /// Its health says that it fails.
+    pub ill: bool,
     pub methods: Vec<Ledger>,
 }
 
