Test by abstention for builds that slow every node; ponder verdicts

It should hold against anything in step with the build's traffic; it costs a few seconds of delay when a burst or slow dependency falls into a trial.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,6 +29,14 @@
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.2, 0.25];
 /// How long a released build must look late or slow before it is voted back for that.
 const STRAIN: Duration = Duration::from_secs(8);
+/// Evidence must stand against a build this long, for trouble in the fleet to show itself first.
+const PONDER: Duration = Duration::from_millis(800);
+/// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under strain.
+const CALM: f64 = 0.75;
+const STRAINED: f64 = 0.25;
+/// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
+const ABSTAIN: [Duration; 3] =
+    [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(5)];
 /// Peers' counts older than this say nothing.
 const FRESH: Duration = Duration::from_secs(3);
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
@@ -38,13 +46,11 @@
 /// A node's first limit on own picks in flight.
 const FIRST_LIMIT: f64 = 4.0;
 const COLD_LIMIT: f64 = 2.0;
+/// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
+const HEAD_START: f64 = 0.2;
 /// An RPC is given up when fewer than this many usual times are left before its soft deadline.
 const SPARE: f64 = 1.5;
 
-fn secs(s: f64) -> Duration {
-    Duration::from_secs_f64(s.max(0.0))
-}
-
 /// ε of the design for `n` outcomes of variance `var`.
 fn width(n: f64, var: f64) -> f64 {
     let n = n.max(3.0);
@@ -63,42 +69,6 @@
     a.n.min(b.n) >= LEAST_SAMPLE && a.mean() + eps(a) < b.mean() - eps(b) - margin
 }
 
-impl Charter {
-    fn new(terms: &RolloutTerms) -> Self {
-        let (release, rules, limits) = (&terms.release, &terms.rules, &terms.limits);
-        let mean = terms.methods.iter().map(|m| m.utility).sum::<f64>() / terms.methods.len() as f64;
-        let marshals = terms.marshals.max(1) as f64;
-        let duty = |(i, m): (usize, &MethodTerms)| {
-            let (soft, head_start) = (m.soft_deadline.as_secs_f64(), secs(0.2 * m.utility / mean));
-            Duty { repeat: m.repeat, soft, head_start, slot: if release.by_method { i } else { 0 } }
-        };
-        let duties: Vec<Duty> = terms.methods.iter().enumerate().map(duty).collect();
-        let (window, free, one_way) = (release.window, release.free, release.one_way);
-        let (first_cap, guarded) = (release.caps.first().copied().unwrap_or(0.0), release.guarded_stages);
-        Charter {
-            least_soft: duties.iter().map(|d| d.soft).fold(f64::INFINITY, f64::min),
-            duties,
-            exposure: Exposure { first_cap, window, free, guarded, one_way },
-            most_picks: limits.most_picks,
-            copies: limits.second_copies,
-            retry_after: limits.retry_after,
-            cold_from: rules.cold_from,
-            warming: rules.warm_within,
-            fall_window: rules.fall_window,
-            fall_budget: COLD_PART * rules.fall_multiple * rules.fall_window.as_secs_f64(),
-            by_votes: release.control == Control::Votes,
-            shares: release.shares.clone(),
-            vote_life: release.vote_life,
-            vote_wait: release.vote_wait,
-            vote_gap: secs((2.0 * marshals / release.vote_rate.max(0.1)).max(0.3)),
-            peers: limits.peers,
-            kinds: terms.kinds.max(1),
-            ask_pause: terms.ask_discovery.then(|| 1.0 + terms.marshal as f64 / marshals),
-            seed: terms.seed,
-        }
-    }
-}
-
 // ---- node ------------------------------------------------------------------------------------------------
 
 #[derive(Default)]
@@ -155,7 +125,7 @@
         let failed = match outcome {
             Outcome::Ok => 0.0,
             Outcome::Error | Outcome::Timeout => 1.0,
-            Outcome::Reset | Outcome::NoConnection => 2.0,
+            Outcome::Reset | Outcome::NoConnection => 3.0,
             // Turned away unseen: the node is full, not ill.
             Outcome::Full => return self.card.limit = (self.card.in_flight as f64 * 0.7).max(1.0),
             Outcome::Cancelled | Outcome::Moot => return,
@@ -268,7 +238,7 @@
         let (age, law) = (cx.age(entry), &cx.law);
         let grown = age.saturating_sub(law.fall_window).as_secs_f64() / law.warming.as_secs_f64().max(0.001);
         let present = law.cold_from + (1.0 - law.cold_from) * grown.min(1.0);
-        let budget = law.fall_budget * present * self.served * power(entry);
+        let budget = COLD_PART * law.fall_budget * present * self.served * power(entry);
         let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window);
         age >= law.warming + law.fall_window || used + 1.0 <= budget.max(1.0)
     }
@@ -301,6 +271,8 @@
     sent: [f64; 2],
     newest: Build,
     new_first: bool,
+    /// The build on trial gets nothing for now.
+    starved: bool,
     retries: f64,
     /// Usual time of an ok by method, in seconds.
     usual: Vec<f64>,
@@ -316,7 +288,9 @@
                 self.cards.resize(self.cards.len().max(ix + 1), Card::default());
                 self.cards[ix] = card;
             }
-            Note::Favour { newest, new_first } => (self.newest, self.new_first) = (newest, new_first),
+            Note::Favour { newest, new_first, starved } => {
+                (self.newest, self.new_first, self.starved) = (newest, new_first, starved);
+            }
             Note::Told(Event::Rpc { rpc, method, key, left, .. }) => {
                 let duty = &cx.law.duties[method];
                 self.gate.taken.entry(duty.slot).or_default().push_back(cx.now);
@@ -376,7 +350,7 @@
     /// Place among those that wait: by soft deadline, earlier for more utility.
     fn rank(&self, rpc: RpcIx, cx: &Cx) -> Option<(Duration, RpcIx)> {
         let r = self.rpcs.get(&rpc)?;
-        Some((r.soft.saturating_sub(cx.law.duties[r.method].head_start), rpc))
+        Some((r.soft.saturating_sub(secs(HEAD_START * cx.law.duties[r.method].worth)), rpc))
     }
 
     fn forget(&mut self, rpc: RpcIx, cx: &Cx) {
@@ -432,11 +406,11 @@
         let ready = || self.cards.iter().filter(|c| c.ready);
         let all = ready().count().max(1);
         let share = ready().filter(|c| c.entry.build == self.newest).count() as f64 / all as f64;
-        let most_rest = 2 * ready().filter(|c| c.resting).count() >= all;
+        let most_rest = 5 * ready().filter(|c| c.resting).count() >= 4 * all;
         let limit = |part: f64| SHARE_LIMIT * part * (self.sent[0] + self.sent[1] + 1.0);
-        let within = [self.sent[0] <= limit(1.0 - share), self.sent[1] <= limit(share)];
+        let within = [self.sent[0] <= limit(1.0 - share), self.sent[1] <= limit(share) && !self.starved];
         // A pick that failed on the newest build is repeated on an older one first.
-        let first = usize::from(self.new_first && !r.burnt);
+        let first = usize::from(self.new_first && !r.burnt && !self.starved);
         for wary in [true, false] {
             for (arm, limited) in [(first, true), (1 - first, true), (first, false), (1 - first, false)] {
                 let fits = |c: &&Card| {
@@ -485,6 +459,55 @@
 
 // ---- judge: arms, verdicts, votes ------------------------------------------------------------------------
 
+/// Tells a build that slows old and new nodes alike, in step with its traffic, from a slow dependency, a burst
+/// or costly RPCs: while the older arm is slower than before the trial, the build gets nothing for a while. If
+/// the older arm recovers and is slowed again with the build's return, the build is guilty; else it is cleared
+/// for this stage. Acts only on trial, while older nodes are the majority. Hurts by its delay.
+#[derive(Default)]
+struct Strain {
+    lately: Tally,
+    off: Tally,
+    since: Option<Duration>,
+    /// The older arm recovered without the build, at this time.
+    relieved: Option<Duration>,
+    cleared: Option<(Build, usize)>,
+}
+
+impl Strain {
+    fn book(&mut self, now: Duration, at: Duration, one: Tally) {
+        match self.since {
+            None => self.lately.add(one, 1.0),
+            Some(since) if at >= since + ABSTAIN[1] && now > since => self.off.add(one, 1.0),
+            _ => {}
+        }
+    }
+
+    /// Whether the older arm is strained, and whether the build is found guilty of it.
+    fn weigh(&mut self, now: Duration, trial: (Build, usize), apart: bool) -> (bool, bool) {
+        let calm = Tally { n: 100.0, good: 100.0 * CALM };
+        let strained = below(self.lately, calm, STRAINED - 0.1, 0.5, CALM * (1.0 - CALM));
+        if self.cleared == Some(trial) {
+            return (false, false);
+        }
+        match (self.since, self.relieved) {
+            (None, Some(_)) if strained => return (true, true),
+            (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
+            (None, None) if strained && apart => (self.since, self.off) = (Some(now), Tally::default()),
+            (Some(since), _) if now >= since + ABSTAIN[0] => {
+                let relief = below(self.lately, self.off, 0.1, 0.5, CALM * (1.0 - CALM));
+                self.relieved = relief.then_some(now);
+                self.cleared = (!relief).then_some(trial);
+                (self.since, self.lately) = (None, Tally::default());
+            }
+            _ => {}
+        }
+        if self.since.is_none() {
+            self.lately.add(self.lately, -0.05);
+        }
+        (strained || self.since.is_some() || self.relieved.is_some(), false)
+    }
+}
+
 #[derive(Default)]
 struct Judge {
     books: Vec<Book>,
@@ -502,6 +525,9 @@
     cast: Option<((Verdict, usize, Build), Duration, bool)>,
     /// Since when a released build has looked late or slow.
     strained: Option<Duration>,
+    strain: Strain,
+    /// Since when the evidence has stood against the build.
+    guilty: Option<Duration>,
     halved: Duration,
     told: Duration,
     looked: Duration,
@@ -513,7 +539,7 @@
             Note::Card(card) => self.listed(&card, cx),
             Note::Booked { entry, method, at, outcome, took } => {
                 if self.excused(&entry) {
-                    return;
+                    return self.books[entry.node].methods.fill(Ledger::default());
                 }
                 let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
                 let Some(book) = self.books.get_mut(entry.node).filter(same) else { return };
@@ -529,8 +555,13 @@
                 {
                     ledger.paid.add(one(ok && took <= soft), 1.0);
                     // Bins by half powers of two, the last but two ending at the soft deadline.
-                    let bin = (took / soft).max(1e-9).log2() * 2.0 + (ledger.times.len() - 3) as f64;
-                    ledger.times[bin.clamp(0.0, 15.0) as usize] += one(ok).good;
+                    let bin = ((took / soft).max(1e-9).log2() * 2.0 + 13.0).clamp(0.0, 15.0) as usize;
+                    ledger.times[bin] += one(ok).good;
+                    let edge =
+                        self.before[entry.kind * cx.law.duties.len() + method].edge(CALM, LEAST_SAMPLE);
+                    if let (Some(edge), true) = (edge, entry.build < self.newest) {
+                        self.strain.book(cx.now, at, one(ok && bin <= edge));
+                    }
                 }
             }
             Note::Told(Event::Disputed { node, method, age }) => {
@@ -598,6 +629,7 @@
         self.books.iter_mut().filter(void).for_each(|b| b.methods.fill(Ledger::default()));
         self.newest = build;
         self.sums = Pair::default();
+        self.strain = Strain::default();
         self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
@@ -615,7 +647,9 @@
     /// strikes a few nodes, whatever their build, convicts no build. Guards against quick errors, crashes and
     /// wrong answers of single machines; it delays the verdict on a build whose failures are rare.
     fn arm(&self, new: bool, mut sums: Vec<Ledger>) -> (Vec<Ledger>, usize) {
-        let faults = |b: &Book| b.methods.iter().map(|l| l.sound.n - l.sound.good).sum::<f64>();
+        let faults = |b: &Book| {
+            b.methods.iter().map(|l| l.sound.n - l.sound.good + l.paid.n - l.paid.good).sum::<f64>()
+        };
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
         let mut books: Vec<&Book> = self.books.iter().filter(mine).collect();
         books.sort_by(|a, b| faults(b).total_cmp(&faults(a)).then(a.entry.node.cmp(&b.entry.node)));
@@ -634,16 +668,8 @@
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
             join(&mut pairs[0], &[n.paid, o.paid]);
             join(&mut pairs[1 + i % count], &[n.sound, o.sound]);
-            // Brisk: within the time that three quarters of the older arm's answers need, on nodes of this kind.
-            let (all, mut sum) = (o.times.iter().sum::<f64>(), 0.0);
-            let passed = |t: &f64| {
-                sum += t;
-                sum >= 0.75 * all
-            };
-            if let (Some(edge), true) = (o.times.iter().position(passed), all >= LEAST_SAMPLE) {
-                let brisk =
-                    |l: &Ledger| Tally { n: l.times.iter().sum(), good: l.times[..=edge].iter().sum() };
-                join(&mut pairs[count + 1], &[brisk(n), brisk(o)]);
+            if let Some(edge) = o.edge(CALM, LEAST_SAMPLE) {
+                join(&mut pairs[count + 1], &[n.upto(edge), o.upto(edge)]);
             }
         }
         (pairs, nodes)
@@ -661,8 +687,8 @@
             self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
         }
         let (mut pairs, nodes) = self.own_pairs(cx);
-        let new_first = index(pairs[0][0]) >= index(pairs[0][1]);
-        cx.put(FRONT, Note::Favour { newest: self.newest, new_first });
+        let (new_first, starved) = (index(pairs[0][0]) >= index(pairs[0][1]), self.strain.since.is_some());
+        cx.put(FRONT, Note::Favour { newest: self.newest, new_first, starved });
         if cx.law.peers && cx.now >= self.told + 5 * LOOK && pairs.iter().any(|p| p[0].n >= 1.0) {
             self.told = cx.now;
             cx.out.push(Action::Tell { to: None, text: write_pairs(self.newest, &pairs) });
@@ -703,17 +729,26 @@
         if self.strained.is_some_and(|since| cx.now < since + STRAIN) {
             return;
         }
+        let old = self.books.iter().filter(|b| b.ready && b.entry.build < news.build).count();
+        let (held, shared) = match released {
+            false => self.strain.weigh(cx.now, (news.build, news.stage), old > nodes),
+            true => (false, false),
+        };
+        let found = worse(1.0).or(shared.then_some(asked.len()));
+        self.guilty = found.and(self.guilty.or(Some(cx.now)));
+        let guilty = self.guilty.is_some_and(|since| cx.now >= since + PONDER);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
         let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
         let ripe = better || self.begun(news, cx).is_some_and(|at| cx.now >= at + wait);
-        let verdict = match (worse(1.0), worse(0.4)) {
-            (Some(_), _) => Verdict::Back,
+        let verdict = match found.or(worse(0.4)) {
+            Some(_) if guilty => Verdict::Back,
             // A vote on is taken back while the evidence leans against the build.
-            (None, Some(_)) => Verdict::None,
+            Some(_) => Verdict::None,
+            _ if held => Verdict::None,
             _ if ripe && !released && cx.law.by_votes => Verdict::On,
             _ => return,
         };
-        let (stage, build, gap) = (news.stage, news.build, cx.law.vote_gap);
+        let (stage, build, gap) = (news.stage, news.build, secs((2.0 * cx.law.vote_gap).max(0.3)));
         let wish = (verdict, stage, build);
         let wait = match self.cast {
             Some((cast, _, counts)) if cast == wish && verdict != Verdict::None => {
@@ -732,7 +767,7 @@
             return;
         }
         if self.cast.is_none_or(|(cast, ..)| cast != wish) {
-            let why = worse(1.0).or(worse(0.4)).map_or(String::new(), |q| format!(", question {q}"));
+            let why = found.or(worse(0.4)).map_or(String::new(), |q| format!(", question {q}"));
             cx.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}{why}")));
         }
         self.cast = Some((wish, cx.now, false));
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,7 +47,8 @@
     pub shares: Vec<f64>,
     pub vote_life: Duration,
     pub vote_wait: Duration,
-    pub vote_gap: Duration,
+    /// Seconds a vote that all marshals together may send.
+    pub vote_gap: f64,
     pub peers: bool,
     pub kinds: usize,
     pub ask_pause: Option<f64>,
@@ -58,8 +59,8 @@
 pub struct Duty {
     pub repeat: Repeat,
     pub soft: f64,
-    /// Earlier place among those that wait, for more utility.
-    pub head_start: Duration,
+    /// Utility against the mean of all methods.
+    pub worth: f64,
     /// Where exposure counts this method.
     pub slot: usize,
 }
@@ -72,6 +73,42 @@
     pub one_way: bool,
 }
 
+impl Charter {
+    pub fn new(terms: &RolloutTerms) -> Self {
+        let (release, rules, limits) = (&terms.release, &terms.rules, &terms.limits);
+        let mean = terms.methods.iter().map(|m| m.utility).sum::<f64>() / terms.methods.len() as f64;
+        let marshals = terms.marshals.max(1) as f64;
+        let duty = |(i, m): (usize, &MethodTerms)| {
+            let (soft, worth) = (m.soft_deadline.as_secs_f64(), m.utility / mean);
+            Duty { repeat: m.repeat, soft, worth, slot: if release.by_method { i } else { 0 } }
+        };
+        let duties: Vec<Duty> = terms.methods.iter().enumerate().map(duty).collect();
+        let (window, free, one_way) = (release.window, release.free, release.one_way);
+        let (first_cap, guarded) = (release.caps.first().copied().unwrap_or(0.0), release.guarded_stages);
+        Charter {
+            least_soft: duties.iter().map(|d| d.soft).fold(f64::INFINITY, f64::min),
+            duties,
+            exposure: Exposure { first_cap, window, free, guarded, one_way },
+            most_picks: limits.most_picks,
+            copies: limits.second_copies,
+            retry_after: limits.retry_after,
+            cold_from: rules.cold_from,
+            warming: rules.warm_within,
+            fall_window: rules.fall_window,
+            fall_budget: rules.fall_multiple * rules.fall_window.as_secs_f64(),
+            by_votes: release.control == Control::Votes,
+            shares: release.shares.clone(),
+            vote_life: release.vote_life,
+            vote_wait: release.vote_wait,
+            vote_gap: marshals / release.vote_rate,
+            peers: limits.peers,
+            kinds: terms.kinds.max(1),
+            ask_pause: terms.ask_discovery.then(|| 1.0 + terms.marshal as f64 / marshals),
+            seed: terms.seed,
+        }
+    }
+}
+
 pub const FRONT: usize = 0;
 pub const JUDGE: usize = 1;
 pub const SCOUT: usize = 2;
@@ -83,7 +120,7 @@
     Sent { rpc: RpcIx, pick: usize, method: usize },
     Card(Card),
     Booked { entry: NodeEntry, method: usize, at: Duration, outcome: Outcome, took: f64 },
-    Favour { newest: Build, new_first: bool },
+    Favour { newest: Build, new_first: bool, starved: bool },
     Pump,
     Beat,
 }
@@ -181,6 +218,18 @@
         self.sound.add(other.sound, part);
         self.times.iter_mut().zip(other.times).for_each(|(a, b)| *a += part * b);
     }
+    /// The bin within which the given part of the answers came.
+    pub fn edge(&self, part: f64, least: f64) -> Option<usize> {
+        let (all, mut sum) = (self.times.iter().sum::<f64>(), 0.0);
+        let passed = |t: &f64| {
+            sum += t;
+            sum >= part * all
+        };
+        self.times.iter().position(passed).filter(|_| all >= least)
+    }
+    pub fn upto(&self, edge: usize) -> Tally {
+        Tally { n: self.times.iter().sum(), good: self.times[..=edge].iter().sum() }
+    }
     pub fn halve(&mut self) {
         let whole = *self;
         self.add(&whole, -0.5);
@@ -224,3 +273,7 @@
     (seed, draw).hash(&mut hasher);
     hasher.finish()
 }
+
+pub fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s.max(0.0))
+}
