--- a/src/policy.rs
+++ b/src/policy.rs
@@ -33,7 +33,7 @@
 const PONDER: Duration = Duration::from_millis(800);
 /// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under strain.
 const CALM: f64 = 0.75;
-const STRAINED: f64 = 0.25;
+const STRAINED: f64 = 0.03;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
 const ABSTAIN: [Duration; 3] =
     [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(5)];
@@ -484,8 +484,8 @@
 
     /// Whether the older arm is strained, and whether the build is found guilty of it.
     fn weigh(&mut self, now: Duration, trial: (Build, usize), apart: bool) -> (bool, bool) {
-        let calm = Tally { n: 100.0, good: 100.0 * CALM };
-        let strained = below(self.lately, calm, STRAINED - 0.1, 0.5, CALM * (1.0 - CALM));
+        let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
+        let strained = below(self.lately, calm, STRAINED, 0.5, CALM * (1.0 - CALM));
         if self.cleared == Some(trial) {
             return (false, false);
         }
@@ -494,7 +494,7 @@
             (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
             (None, None) if strained && apart => (self.since, self.off) = (Some(now), Tally::default()),
             (Some(since), _) if now >= since + ABSTAIN[0] => {
-                let relief = below(self.lately, self.off, 0.1, 0.5, CALM * (1.0 - CALM));
+                let relief = below(self.lately, self.off, 0.0, 0.35, CALM * (1.0 - CALM));
                 self.relieved = relief.then_some(now);
                 self.cleared = (!relief).then_some(trial);
                 (self.since, self.lately) = (None, Tally::default());
