--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -42,6 +42,7 @@
     next_rpc: RpcIx,
     ended: Vec<RpcIx>,
     tenants: bool,
+    methods: usize,
     events: Vec<Event>,
 }
 
@@ -149,6 +150,7 @@
     fn new(facts: facts::Facts) -> Self {
         Instance {
             tenants: !facts.terms.tenants.is_empty(),
+            methods: facts.terms.methods.len(),
             marshal: Marshal::new(&facts.terms),
             columns: facts.columns,
             nodes: HashMap::new(),
@@ -205,6 +207,13 @@
         Ok(load)
     }
 
+    fn method(&self, class: u8) -> Result<usize> {
+        match usize::from(class) {
+            method if method < self.methods => Ok(method),
+            _ => malformed(format!("class {class} is not among the {} of the start settings", self.methods)),
+        }
+    }
+
     fn end(&mut self, rpc: RpcIx) {
         if let Some(open) = self.open.get_mut(&rpc) {
             open.ended = true;
@@ -216,7 +225,7 @@
     fn read(&mut self, code: u8, f: &mut Reader) -> Result<Option<Event>> {
         Ok(Some(match code {
             3 => {
-                let (xid, method, tenant, key) = (f.u32()?, f.u8()?, f.u32()?, f.u64()?);
+                let (xid, method, tenant, key) = (f.u32()?, self.method(f.u8()?)?, f.u32()?, f.u64()?);
                 let (left, work, attrs) = (f.u32()?, f.u32()?, f.u16()?);
                 let rpc = self.next_rpc;
                 self.next_rpc = self.next_rpc.wrapping_add(1);
@@ -224,7 +233,7 @@
                 self.open.insert(rpc, OpenRpc { xid, outstanding: 0, ended: false });
                 Event::Rpc {
                     rpc,
-                    method: method.into(),
+                    method,
                     tenant: self.tenants.then_some(tenant as usize),
                     key: (key != 0).then_some(key),
                     left: micros(left),
@@ -308,11 +317,11 @@
                 }
             }
             12 => {
-                let (build, method, picks) = (f.u16()?, f.u8()?, f.u32()?);
+                let (build, method, picks) = (f.u16()?, self.method(f.u8()?)?, f.u32()?);
                 let (failed, mean, age) = (f.u32()?, f.u32()?, f.u32()?);
                 Event::Sums {
                     build: build.into(),
-                    method: method.into(),
+                    method,
                     picks,
                     failed,
                     mean: micros(mean),
@@ -320,8 +329,8 @@
                 }
             }
             13 => {
-                let (addr, age, method) = (f.addr()?, f.u32()?, f.u8()?);
-                Event::Disputed { node: self.node(addr), method: method.into(), age: micros(age) }
+                let (addr, age, method) = (f.addr()?, f.u32()?, self.method(f.u8()?)?);
+                Event::Disputed { node: self.node(addr), method, age: micros(age) }
             }
             other => return malformed(format!("a record has the unknown code {other}")),
         }))
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,8 +2,8 @@
 //! when something has happened; the interface is in `port.rs`, the reasons are in `docs/design.md`.
 //! Each node is a small actor; front (RPCs), judge (builds, votes) and scout (the list) are the other parts.
 //! They talk only by notes in inboxes, which the loop in `Marshal::settle` empties: nodes first, front last.
+//! What they keep is laid out in `state.rs`; whatever is decided, or tuned, is here.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use crate::port::*;
@@ -41,6 +41,8 @@
 const FRESH: Duration = Duration::from_secs(3);
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
 const COLD_PART: f64 = 0.75;
+/// The served rate is averaged over this many seconds.
+const SERVED_OVER: f64 = 3.0;
 /// Repeats of picks that may have run: earned per RPC taken, and the most in store.
 const RETRIES: [f64; 2] = [0.2, 20.0];
 /// A node's first limit on own picks in flight.
@@ -71,18 +73,6 @@
 
 // ---- node ------------------------------------------------------------------------------------------------
 
-#[derive(Default)]
-struct Node {
-    card: Card,
-    out: Vec<(RpcIx, usize, usize, Duration, NodeEntry)>,
-    heard: Duration,
-    cut: Duration,
-    ill: f64,
-    rests: u32,
-    rest_until: Duration,
-    took: f64,
-}
-
 impl Node {
     fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
@@ -155,18 +145,6 @@
 
 // ---- gate: the one place that every send passes ----------------------------------------------------------
 
-#[derive(Default)]
-struct Gate {
-    news: Option<News>,
-    taken: BTreeMap<usize, Times>,
-    sent: BTreeMap<(Build, usize), Times>,
-    cold_sent: BTreeMap<NodeIx, Times>,
-    /// RPCs a second that one unit of warm power has answered to this marshal.
-    served: f64,
-    /// Keys that a build on trial has answered under the one-way rule, with that build.
-    crossed: BTreeMap<u64, Build>,
-}
-
 impl Gate {
     /// Stage and cap if the build is on trial for this marshal; an unannounced one counts as in stage 0.
     fn trial(&self, cx: &Cx, build: Build) -> Option<(usize, f64)> {
@@ -261,25 +239,6 @@
 
 // ---- front: RPCs, picks, waits ---------------------------------------------------------------------------
 
-#[derive(Default)]
-struct Front {
-    gate: Gate,
-    cards: Vec<Card>,
-    rpcs: BTreeMap<RpcIx, Rpc>,
-    waiting: BTreeSet<(Duration, RpcIx)>,
-    /// Picks sent lately to the older arm and to the newest build; halved from time to time.
-    sent: [f64; 2],
-    newest: Build,
-    new_first: bool,
-    /// The build on trial gets nothing for now.
-    starved: bool,
-    retries: f64,
-    /// Usual time of an ok by method, in seconds.
-    usual: Vec<f64>,
-    oks: f64,
-    draws: u64,
-}
-
 impl Front {
     fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
@@ -295,9 +254,8 @@
                 let duty = &cx.law.duties[method];
                 self.gate.taken.entry(duty.slot).or_default().push_back(cx.now);
                 self.retries = (self.retries + RETRIES[0]).min(RETRIES[1]);
-                let (soft, until, picks) = (cx.now + secs(duty.soft).min(left), cx.now + left, Vec::new());
-                self.rpcs
-                    .insert(rpc, Rpc { method, key, soft, until, picks, streaming: false, burnt: false });
+                let (soft, until) = (cx.now + secs(duty.soft).min(left), cx.now + left);
+                self.rpcs.insert(rpc, Rpc { method, key, soft, until, ..Rpc::default() });
                 self.serve(rpc, cx);
             }
             Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
@@ -332,9 +290,9 @@
             }
             Note::Beat => {
                 let warm = self.cards.iter().filter(|c| c.ready && cx.age(&c.entry) > YOUNG);
-                let rate =
-                    self.oks / BEAT.as_secs_f64() / warm.map(|c| power(&c.entry)).sum::<f64>().max(1.0);
-                self.gate.served += BEAT.as_secs_f64() / 3.0 * (rate - self.gate.served);
+                let power = warm.map(|c| power(&c.entry)).sum::<f64>().max(1.0);
+                let step = BEAT.as_secs_f64();
+                self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
                 self.oks = 0.0;
                 self.gate.sweep(cx);
                 if self.sent[0] + self.sent[1] > 200.0 {
@@ -463,21 +421,11 @@
 /// or costly RPCs: while the older arm is slower than before the trial, the build gets nothing for a while. If
 /// the older arm recovers and is slowed again with the build's return, the build is guilty; else it is cleared
 /// for this stage. Acts only on trial, while older nodes are the majority. Hurts by its delay.
-#[derive(Default)]
-struct Strain {
-    lately: Tally,
-    off: Tally,
-    since: Option<Duration>,
-    /// The older arm recovered without the build, at this time.
-    relieved: Option<Duration>,
-    cleared: Option<(Build, usize)>,
-}
-
 impl Strain {
-    fn book(&mut self, now: Duration, at: Duration, one: Tally) {
+    fn book(&mut self, at: Duration, one: Tally) {
         match self.since {
             None => self.lately.add(one, 1.0),
-            Some(since) if at >= since + ABSTAIN[1] && now > since => self.off.add(one, 1.0),
+            Some(since) if at >= since + ABSTAIN[1] => self.off.add(one, 1.0),
             _ => {}
         }
     }
@@ -508,31 +456,6 @@
     }
 }
 
-#[derive(Default)]
-struct Judge {
-    books: Vec<Book>,
-    /// What older builds did on nodes that are gone, by kind and method.
-    past: Vec<Ledger>,
-    /// What the earlier build did before the present trial.
-    before: Vec<Ledger>,
-    newest: Build,
-    places: f64,
-    news: Option<News>,
-    begun: Option<(Build, usize, Duration)>,
-    heard: BTreeMap<usize, (Duration, Build, Vec<Pair>)>,
-    sums: Pair,
-    /// The last vote, when it was sent, and whether it is known to count.
-    cast: Option<((Verdict, usize, Build), Duration, bool)>,
-    /// Since when a released build has looked late or slow.
-    strained: Option<Duration>,
-    strain: Strain,
-    /// Since when the evidence has stood against the build.
-    guilty: Option<Duration>,
-    halved: Duration,
-    told: Duration,
-    looked: Duration,
-}
-
 impl Judge {
     fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
@@ -543,25 +466,20 @@
                 }
                 let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
                 let Some(book) = self.books.get_mut(entry.node).filter(same) else { return };
-                let (soft, ledger, ok) =
-                    (cx.law.duties[method].soft, &mut book.methods[method], outcome == Outcome::Ok);
-                let one = |good: bool| Tally { n: 1.0, good: f64::from(u8::from(good)) };
+                let (soft, ok) = (cx.law.duties[method].soft, outcome == Outcome::Ok);
+                let (ledger, kind) = (&mut book.methods[method], book.entry.kind);
                 if matches!(outcome, Outcome::Ok | Outcome::Error) {
-                    ledger.sound.add(one(ok), 1.0);
+                    ledger.sound.add(Tally::one(ok), 1.0);
                 }
-                if entry.started.is_none_or(|start| at >= start + YOUNG)
-                    && !outcome.never_ran()
-                    && outcome != Outcome::Cancelled
-                {
-                    ledger.paid.add(one(ok && took <= soft), 1.0);
+                let young = entry.started.is_some_and(|start| at < start + YOUNG);
+                if !young && !outcome.never_ran() && outcome != Outcome::Cancelled {
+                    ledger.paid.add(Tally::one(ok && took <= soft), 1.0);
                     // Bins by half powers of two, the last but two ending at the soft deadline.
                     let bin = ((took / soft).max(1e-9).log2() * 2.0 + 13.0).clamp(0.0, 15.0) as usize;
-                    ledger.times[bin] += one(ok).good;
-                    let edge =
-                        self.before[entry.kind * cx.law.duties.len() + method].edge(CALM, LEAST_SAMPLE);
-                    if let (Some(edge), true) = (edge, entry.build < self.newest) {
-                        self.strain.book(cx.now, at, one(ok && bin <= edge));
-                    }
+                    ledger.times[bin] += Tally::one(ok).good;
+                    let calm = &self.before[kind * cx.law.duties.len() + method];
+                    let edge = calm.edge(CALM, LEAST_SAMPLE).filter(|_| entry.build < self.newest);
+                    edge.into_iter().for_each(|edge| self.strain.book(at, Tally::one(ok && bin <= edge)));
                 }
             }
             Note::Told(Event::Disputed { node, method, age }) => {
@@ -636,11 +554,12 @@
     /// While nodes of both builds fail, what an ill node on trial does is not held against its build, unless
     /// most nodes on trial are ill. Guards against fleet trouble that strikes the few nodes on trial as well.
     fn excused(&self, entry: &NodeEntry) -> bool {
-        let trial = |b: &&Book| b.ready && b.entry.build == self.newest;
-        let nodes = self.books.iter().filter(trial).count();
-        let ill = self.books.iter().filter(trial).filter(|b| b.ill).count();
-        let others = self.books.iter().any(|b| b.ready && b.ill && b.entry.build != self.newest);
-        others && entry.build == self.newest && self.books[entry.node].ill && 2 * ill <= nodes + 1
+        let ready = |b: &&Book| b.ready;
+        let (trial, others): (Vec<&Book>, Vec<&Book>) =
+            self.books.iter().filter(ready).partition(|b| b.entry.build == self.newest);
+        let ill = trial.iter().filter(|b| b.ill).count();
+        let mine = trial.iter().any(|b| b.ill && b.entry.node == entry.node);
+        mine && others.iter().any(|b| b.ill) && 2 * ill <= trial.len() + 1
     }
 
     /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble that
@@ -720,23 +639,16 @@
             .map(|p| (*p, MARGIN[1], var(p)))
             .chain([(payoff, MARGIN[0], 0.25), (pace, slower, var(&pace))])
             .collect();
-        let last = asked.len() - 2;
         let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v));
-        // After release no other arm shares the day's troubles: lateness and slowness must last to be held
-        // against the build.
-        let strained = released && worse(1.0).is_some_and(|q| q >= last);
-        self.strained = strained.then(|| self.strained.unwrap_or(cx.now));
-        if self.strained.is_some_and(|since| cx.now < since + STRAIN) {
-            return;
-        }
         let old = self.books.iter().filter(|b| b.ready && b.entry.build < news.build).count();
-        let (held, shared) = match released {
-            false => self.strain.weigh(cx.now, (news.build, news.stage), old > nodes),
-            true => (false, false),
-        };
+        let trial = (news.build, news.stage);
+        let (held, shared) =
+            if released { (false, false) } else { self.strain.weigh(cx.now, trial, old > nodes) };
         let found = worse(1.0).or(shared.then_some(asked.len()));
+        // After release no other arm shares the day's troubles: lateness and slowness must last longer.
+        let ponder = if released && found >= Some(asked.len() - 2) { STRAIN } else { PONDER };
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
-        let guilty = self.guilty.is_some_and(|since| cx.now >= since + PONDER);
+        let guilty = self.guilty.is_some_and(|since| cx.now >= since + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
         let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
         let ripe = better || self.begun(news, cx).is_some_and(|at| cx.now >= at + wait);
@@ -750,20 +662,14 @@
         };
         let (stage, build, gap) = (news.stage, news.build, secs((2.0 * cx.law.vote_gap).max(0.3)));
         let wish = (verdict, stage, build);
-        let wait = match self.cast {
-            Some((cast, _, counts)) if cast == wish && verdict != Verdict::None => {
-                if counts {
-                    cx.law.vote_life.mul_f64(0.6)
-                } else {
-                    cx.law.vote_wait.max(gap)
-                }
-            }
-            Some(((Verdict::On, s, b), ..)) if (s, b) == (stage, build) => gap,
-            Some(_) if verdict != Verdict::None => gap,
-            None if verdict != Verdict::None => Duration::ZERO,
-            _ => return,
+        let on = self.cast.is_some_and(|(cast, ..)| cast == (Verdict::On, stage, build));
+        let pause = match self.cast {
+            Some((cast, _, true)) if cast == wish => cx.law.vote_life.mul_f64(0.6),
+            Some((cast, _, false)) if cast == wish => cx.law.vote_wait.max(gap),
+            _ => gap,
         };
-        if self.cast.is_some_and(|(_, at, _)| cx.now < at + wait) {
+        let soon = self.cast.is_some_and(|(_, at, _)| cx.now < at + pause);
+        if soon || (verdict == Verdict::None && !on) {
             return;
         }
         if self.cast.is_none_or(|(cast, ..)| cast != wish) {
@@ -776,10 +682,8 @@
 
     /// When the present stage's machines have all started, as far as the list tells.
     fn begun(&mut self, news: News, cx: &Cx) -> Option<Duration> {
-        if let Some((build, stage, at)) = self.begun {
-            if (build, stage) == (news.build, news.stage) {
-                return Some(at);
-            }
+        if let Some((.., at)) = self.begun.filter(|b| (b.0, b.1) == (news.build, news.stage)) {
+            return Some(at);
         }
         let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
         let due = (cx.law.shares.get(news.stage)? * self.places).round().max(1.0);
@@ -794,13 +698,6 @@
 
 // ---- scout: the list of nodes, where it must be asked for ------------------------------------------------
 
-#[derive(Default)]
-struct Scout {
-    subscribed: bool,
-    ask_at: Duration,
-    failures: i32,
-}
-
 impl Scout {
     fn act(&mut self, note: Note, cx: &mut Cx) {
         let Some(pause) = cx.law.ask_pause else { return };
@@ -839,16 +736,14 @@
         let front = Front { usual, new_first: true, retries: RETRIES[1], ..Front::default() };
         let past = vec![Ledger::default(); law.kinds * law.duties.len()];
         let judge = Judge { before: past.clone(), past, ..Judge::default() };
-        let boxes = (0..NODES).map(|_| VecDeque::new()).collect();
-        let cx = Cx { now: Duration::ZERO, law, boxes, out: Vec::new() };
         let (nodes, scout, beat_at) = (Vec::new(), Scout::default(), Duration::ZERO);
-        Marshal { cx, nodes, front, judge, scout, beat_at }
+        Marshal { cx: Cx::new(law), nodes, front, judge, scout, beat_at }
     }
 
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         self.cx.now = now;
         for event in events {
-            self.sort(event);
+            self.cx.sort(event);
             self.settle();
         }
         if now >= self.beat_at {
@@ -860,44 +755,10 @@
         std::mem::take(&mut self.cx.out)
     }
 
-    /// Puts an event into the inboxes that it concerns.
-    fn sort(&mut self, event: Event) {
-        let to = match &event {
-            Event::Nodes { scope, nodes } => {
-                // What a whole list leaves out is gone.
-                let left = |n: &&Node| nodes.iter().all(|e| e.node != n.card.entry.node);
-                let whole = matches!(scope, Scope::Full | Scope::Cached);
-                for node in self.nodes.iter().filter(|n| whole && n.card.ready).filter(left) {
-                    let gone = NodeEntry { readiness: Readiness::Gone, ..node.card.entry };
-                    self.cx.put(NODES + gone.node, Note::Listed(gone));
-                }
-                for entry in nodes {
-                    while self.nodes.len() <= entry.node {
-                        self.nodes.push(Node::default());
-                        self.cx.boxes.push(VecDeque::new());
-                    }
-                    self.cx.put(NODES + entry.node, Note::Listed(*entry));
-                }
-                SCOUT
-            }
-            Event::PickEnded { node, .. } => {
-                self.cx.put(NODES + node, Note::Told(event.clone()));
-                FRONT
-            }
-            Event::Stage { .. } => {
-                self.cx.put(JUDGE, Note::Told(event.clone()));
-                FRONT
-            }
-            Event::Rpc { .. } | Event::StreamBegun { .. } | Event::ClientLeft { .. } => FRONT,
-            _ => JUDGE,
-        };
-        self.cx.put(to, Note::Told(event));
-    }
-
     /// Empties the inboxes, one note at a time: nodes, then scout, judge and front.
     fn settle(&mut self) {
-        while let Some(to) = self.cx.boxes.iter().rposition(|inbox| !inbox.is_empty()) {
-            let Some(note) = self.cx.boxes[to].pop_front() else { return };
+        self.nodes.resize_with(self.cx.boxes.len() - NODES, Node::default);
+        while let Some((to, note)) = self.cx.next() {
             match to {
                 FRONT => self.front.act(note, &mut self.cx),
                 JUDGE => self.judge.act(note, &mut self.cx),
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 //! codec of the peers' counts. No decision and no tuned value is made here; they are all in `policy.rs`.
 
 use std::collections::hash_map::DefaultHasher;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
 
@@ -16,6 +16,9 @@
 }
 
 impl Tally {
+    pub fn one(good: bool) -> Tally {
+        Tally { n: 1.0, good: f64::from(u8::from(good)) }
+    }
     pub fn add(&mut self, other: Tally, part: f64) {
         *self = Tally { n: self.n + part * other.n, good: self.good + part * other.good };
     }
@@ -129,14 +132,55 @@
 pub struct Cx {
     pub now: Duration,
     pub law: Charter,
+    /// Each node as last listed.
+    pub listed: BTreeMap<NodeIx, NodeEntry>,
     pub boxes: Vec<VecDeque<Note>>,
     pub out: Vec<Action>,
 }
 
 impl Cx {
+    pub fn new(law: Charter) -> Self {
+        let boxes = (0..NODES).map(|_| VecDeque::new()).collect();
+        Cx { now: Duration::ZERO, law, listed: BTreeMap::new(), boxes, out: Vec::new() }
+    }
+    /// The next note: nodes first, the front last.
+    pub fn next(&mut self) -> Option<(usize, Note)> {
+        let to = self.boxes.iter().rposition(|inbox| !inbox.is_empty())?;
+        Some((to, self.boxes[to].pop_front()?))
+    }
     pub fn put(&mut self, to: usize, note: Note) {
         self.boxes[to].push_back(note);
     }
+    /// Puts an event into the inboxes that it concerns.
+    pub fn sort(&mut self, event: Event) {
+        let to = match &event {
+            Event::Nodes { scope, nodes } => {
+                // What a whole list leaves out is gone.
+                let whole = matches!(scope, Scope::Full | Scope::Cached);
+                let left = |e: &&NodeEntry| whole && nodes.iter().all(|n| n.node != e.node);
+                let listed = self.listed.values().filter(left);
+                let gone = listed.map(|e| NodeEntry { readiness: Readiness::Gone, ..*e });
+                for entry in gone.chain(nodes.iter().copied()).collect::<Vec<_>>() {
+                    let boxes = self.boxes.len().max(NODES + entry.node + 1);
+                    self.boxes.resize_with(boxes, VecDeque::new);
+                    self.listed.insert(entry.node, entry);
+                    self.put(NODES + entry.node, Note::Listed(entry));
+                }
+                SCOUT
+            }
+            Event::PickEnded { node, .. } => {
+                self.put(NODES + node, Note::Told(event.clone()));
+                FRONT
+            }
+            Event::Stage { .. } => {
+                self.put(JUDGE, Note::Told(event.clone()));
+                FRONT
+            }
+            Event::Rpc { .. } | Event::StreamBegun { .. } | Event::ClientLeft { .. } => FRONT,
+            _ => JUDGE,
+        };
+        self.put(to, Note::Told(event));
+    }
     pub fn age(&self, entry: &NodeEntry) -> Duration {
         entry.started.map_or(Duration::MAX, |at| self.now.saturating_sub(at))
     }
@@ -192,6 +236,7 @@
     pub never_ran: bool,
 }
 
+#[derive(Default)]
 pub struct Rpc {
     pub method: usize,
     pub key: Option<u64>,
@@ -267,6 +312,92 @@
     Some(((*build).into(), pairs.collect()))
 }
 
+// ---- the parts' own state --------------------------------------------------------------------------------
+
+#[derive(Default)]
+pub struct Node {
+    pub card: Card,
+    pub out: Vec<(RpcIx, usize, usize, Duration, NodeEntry)>,
+    pub heard: Duration,
+    pub cut: Duration,
+    pub ill: f64,
+    pub rests: u32,
+    pub rest_until: Duration,
+    pub took: f64,
+}
+
+#[derive(Default)]
+pub struct Gate {
+    pub news: Option<News>,
+    pub taken: BTreeMap<usize, Times>,
+    pub sent: BTreeMap<(Build, usize), Times>,
+    pub cold_sent: BTreeMap<NodeIx, Times>,
+    /// RPCs a second that one unit of warm power has answered to this marshal.
+    pub served: f64,
+    /// Keys that a build on trial has answered under the one-way rule, with that build.
+    pub crossed: BTreeMap<u64, Build>,
+}
+
+#[derive(Default)]
+pub struct Front {
+    pub gate: Gate,
+    pub cards: Vec<Card>,
+    pub rpcs: BTreeMap<RpcIx, Rpc>,
+    pub waiting: BTreeSet<(Duration, RpcIx)>,
+    /// Picks sent lately to the older arm and to the newest build; halved from time to time.
+    pub sent: [f64; 2],
+    pub newest: Build,
+    pub new_first: bool,
+    /// The build on trial gets nothing for now.
+    pub starved: bool,
+    pub retries: f64,
+    /// Usual time of an ok by method, in seconds.
+    pub usual: Vec<f64>,
+    pub oks: f64,
+    pub draws: u64,
+}
+
+#[derive(Default)]
+pub struct Judge {
+    pub books: Vec<Book>,
+    /// What older builds did on nodes that are gone, by kind and method.
+    pub past: Vec<Ledger>,
+    /// What the earlier build did before the present trial.
+    pub before: Vec<Ledger>,
+    pub newest: Build,
+    pub places: f64,
+    pub news: Option<News>,
+    pub begun: Option<(Build, usize, Duration)>,
+    pub heard: BTreeMap<usize, (Duration, Build, Vec<Pair>)>,
+    pub sums: Pair,
+    /// The last vote, when it was sent, and whether it is known to count.
+    pub cast: Option<((Verdict, usize, Build), Duration, bool)>,
+    pub strain: Strain,
+    /// Since when the evidence has stood against the build.
+    pub guilty: Option<Duration>,
+    pub halved: Duration,
+    pub told: Duration,
+    pub looked: Duration,
+}
+
+#[derive(Default)]
+pub struct Scout {
+    pub subscribed: bool,
+    pub ask_at: Duration,
+    pub failures: i32,
+}
+
+/// The test by abstention: the older arm with the build's traffic and without it.
+#[derive(Default)]
+pub struct Strain {
+    pub lately: Tally,
+    pub off: Tally,
+    pub since: Option<Duration>,
+    /// The older arm recovered without the build, at this time.
+    pub relieved: Option<Duration>,
+    pub cleared: Option<(Build, usize)>,
+}
+
 /// Chance: the hash of the seed and a counter.
 pub fn chance(seed: u64, draw: u64) -> u64 {
     let mut hasher = DefaultHasher::new();
