--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,5 +1,5 @@
-//! All decisions of one marshal. Made by `Marshal::new(&terms)`, then called as `handle(now, events) -> actions`
-//! when something has happened; the interface is in `port.rs`, the reasons are in `docs/design.md`.
+//! All decisions of one marshal. Made by `Marshal::new(&terms)`, then called when something has happened as
+//! `handle(now, events) -> actions`; the interface is in `port.rs`, the reasons are in `docs/design.md`.
 //! Each node is a small actor; front (RPCs), judge (builds, votes) and scout (the list) are the other parts.
 //! They talk only by notes in inboxes, which the loop in `Marshal::settle` empties: nodes first, front last.
 //! What they keep is laid out in `state.rs`; whatever is decided, or tuned, is here.
@@ -223,10 +223,9 @@
 
     /// Books a send that `admits` has let through.
     fn book(&mut self, cx: &Cx, method: usize, entry: &NodeEntry) {
-        if self.trial(cx, entry.build).is_some() {
-            let slot = cx.law.duties[method].slot;
-            self.sent.entry((entry.build, slot)).or_default().push_back(cx.now);
-        }
+        // Whatever the build's standing now: it may be told to be on trial a moment later.
+        let slot = cx.law.duties[method].slot;
+        self.sent.entry((entry.build, slot)).or_default().push_back(cx.now);
         self.cold_sent.entry(entry.node).or_default().push_back(cx.now);
     }
 
@@ -618,7 +617,7 @@
                 pairs.iter_mut().zip(theirs).for_each(|(a, b)| join(a, b));
             }
         }
-        // The platform counts full and cold nodes as failures too, so its sums speak of payoff, not of soundness.
+        // The platform counts full and cold nodes as failures too: its sums speak of payoff, not of soundness.
         join(&mut pairs[0], &self.sums);
         self.vote(pairs, nodes, cx);
     }
--- /dev/null
+++ b/tests/marshal/cases.rs
@@ -0,0 +1,207 @@
+//! Plain cases: one small day each.
+
+use crate::world::{ms, terms, World};
+use ivydrift::port::*;
+
+/// Eight warm nodes of build 1 that have served for a while, then `trial` nodes of build 2 in stage 0.
+fn on_trial(trial: usize) -> World {
+    let mut w = World::new(terms(), 8);
+    w.run(ms(6000), 100);
+    w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+    (8..8 + trial).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+    w
+}
+
+#[test]
+fn a_good_build_is_voted_on_and_the_vote_is_renewed() {
+    let mut w = on_trial(2);
+    w.run(ms(2000), 100);
+    assert!(!w.voted(Verdict::On), "the on-wait was not kept");
+    w.run(ms(3000), 100);
+    w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Counts);
+    w.run(ms(6000), 100);
+    assert!(!w.voted(Verdict::Back));
+    let on: Vec<_> = w.votes.iter().filter(|v| v.1 == Verdict::On).map(|v| v.0).collect();
+    assert!(on.len() >= 2 && on.windows(2).all(|t| t[1] - t[0] < ms(4000)), "{on:?}");
+}
+
+#[test]
+fn a_lost_vote_is_cast_again() {
+    let mut w = on_trial(2);
+    w.run(ms(4500), 100);
+    let first = w.votes.len();
+    w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Silent);
+    w.run(ms(1500), 100);
+    assert!(first >= 1 && w.votes.len() > first);
+}
+
+#[test]
+fn a_build_that_errs_is_voted_back_at_once_also_on_young_nodes() {
+    let mut w = on_trial(2);
+    w.behave = Box::new(|e, _, _, die| match e.build == 2 && die % 3 == 0 {
+        true => (Outcome::Error, ms(20)),
+        false => (Outcome::Ok, ms(60)),
+    });
+    w.run(ms(5000), 100);
+    assert!(w.voted(Verdict::Back));
+}
+
+#[test]
+fn a_build_bad_in_one_method_is_voted_back() {
+    let mut w = on_trial(2);
+    w.behave = Box::new(|e, method, _, _| match e.build == 2 && method == 1 {
+        true => (Outcome::Error, ms(20)),
+        false => (Outcome::Ok, ms(60)),
+    });
+    w.run(ms(6000), 100);
+    assert!(w.voted(Verdict::Back));
+}
+
+#[test]
+fn quick_errors_on_nodes_of_both_builds_convict_neither() {
+    let mut w = on_trial(1);
+    w.run(ms(6000), 100);
+    let struck = w.now + ms(4000);
+    w.behave = Box::new(move |e, _, now, _| match (e.node == 8 || e.node == 0) && now < struck {
+        true => (Outcome::Error, ms(5)),
+        false => (Outcome::Ok, ms(60)),
+    });
+    w.run(ms(9000), 100);
+    assert!(!w.voted(Verdict::Back));
+}
+
+#[test]
+fn slow_answers_of_cold_nodes_are_not_held_against_the_build() {
+    let mut w = on_trial(2);
+    let warm = w.now + ms(4500);
+    w.behave = Box::new(move |e, _, now, _| match e.build == 2 && now < warm {
+        true => (Outcome::Ok, ms(900)),
+        false => (Outcome::Ok, ms(60)),
+    });
+    w.run(ms(10_000), 100);
+    assert!(!w.voted(Verdict::Back));
+}
+
+#[test]
+fn a_slow_build_is_voted_back() {
+    let mut w = on_trial(4);
+    w.behave = Box::new(|e, _, _, die| (Outcome::Ok, ms(if e.build == 2 { 240 } else { 40 } + die % 40)));
+    w.run(ms(16_000), 100);
+    assert!(w.voted(Verdict::Back));
+}
+
+/// All nodes slow down for as long as the build has been sent anything within the last half second.
+fn in_step(w: &mut World) {
+    let fed = std::rc::Rc::new(std::cell::Cell::new(w.now));
+    w.behave = Box::new(move |e, _, now, die| {
+        if e.build == 2 {
+            fed.set(now);
+        }
+        (Outcome::Ok, ms(if now < fed.get() + ms(500) { 280 } else { 50 } + die % 30))
+    });
+}
+
+#[test]
+fn a_build_that_slows_every_node_is_found_out_by_abstaining() {
+    let mut w = on_trial(2);
+    in_step(&mut w);
+    w.run(ms(20_000), 60);
+    assert!(w.voted(Verdict::Back));
+}
+
+#[test]
+fn a_slow_dependency_is_told_from_a_build_that_slows_every_node() {
+    let mut w = on_trial(2);
+    w.run(ms(5500), 60);
+    w.behave = Box::new(|_, _, _, die| (Outcome::Ok, ms(250 + die % 30)));
+    w.run(ms(14_000), 60);
+    assert!(!w.voted(Verdict::Back));
+}
+
+#[test]
+fn a_released_build_is_watched_against_the_earlier_ones_record() {
+    let mut w = on_trial(8);
+    w.run(ms(8000), 100);
+    w.tell(2, 2, Course::Released, 1.0, VoteReply::Unasked);
+    (0..8).for_each(|n| w.list(n, 1, Readiness::Gone, None));
+    w.run(ms(4000), 100);
+    assert!(!w.voted(Verdict::Back));
+    w.behave = Box::new(|_, _, _, die| (if die % 4 == 0 { Outcome::Error } else { Outcome::Ok }, ms(60)));
+    w.run(ms(8000), 100);
+    assert!(w.voted(Verdict::Back));
+}
+
+#[test]
+fn nothing_is_voted_on_under_a_clock_but_back_is() {
+    let mut t = terms();
+    t.release.control = Control::Clock;
+    let mut w = World::new(t, 8);
+    w.run(ms(6000), 100);
+    w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+    (8..10).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+    w.run(ms(8000), 100);
+    assert!(w.votes.is_empty(), "{:?}", w.votes);
+    w.behave = Box::new(|e, _, _, _| (if e.build == 2 { Outcome::Error } else { Outcome::Ok }, ms(30)));
+    w.run(ms(6000), 100);
+    assert!(w.voted(Verdict::Back) && !w.voted(Verdict::Hold));
+}
+
+#[test]
+fn an_arm_short_of_the_least_sample_ranks_first_within_its_share() {
+    let mut w = on_trial(2);
+    let before = w.sends.len();
+    w.run(ms(8000), 100);
+    let late: Vec<_> = w.sends[before..].iter().filter(|s| s.0 > w.now - ms(3000)).collect();
+    let new = late.iter().filter(|s| s.1.build == 2).count() as f64 / late.len() as f64;
+    assert!((0.16..=0.26).contains(&new), "the share of the build on trial was {new}");
+}
+
+#[test]
+fn a_silent_node_loses_its_traffic_and_is_tried_again_gently() {
+    let mut w = World::new(terms(), 8);
+    w.run(ms(3000), 100);
+    let (from, back) = (w.now, w.now + ms(6000));
+    w.behave = Box::new(move |e, _, now, _| match e.node == 3 && now < back {
+        true => (Outcome::Ok, ms(60_000)),
+        false => (Outcome::Ok, ms(60)),
+    });
+    w.run(ms(6000), 100);
+    let at = |w: &World, since| w.sends.iter().filter(|s| s.0 > since && s.1.node == 3).count();
+    assert!(at(&w, from) < 20, "{} picks at a silent node", at(&w, from));
+    w.run(ms(8000), 100);
+    assert!(at(&w, w.now - ms(3000)) > 10, "the node was not taken back");
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_pushed_back_early_with_a_time_to_return() {
+    let mut w = World::new(terms(), 1);
+    w.behave = Box::new(|_, _, _, _| (Outcome::Ok, ms(500)));
+    w.run(ms(4000), 200);
+    assert!(w.pushed_back.len() > 100);
+    assert!(w.pushed_back.iter().all(|after| after.is_some_and(|t| t > ms(0) && t <= ms(1000))));
+}
+
+#[test]
+fn discovery_is_asked_again_after_a_failure() {
+    let mut t = terms();
+    t.ask_discovery = true;
+    let mut w = World::new(t, 4);
+    w.step(vec![Event::Nodes { scope: Scope::Failed, nodes: vec![] }]);
+    w.run(ms(3000), 20);
+    let nodes = w.nodes.values().copied().collect();
+    w.step(vec![Event::Nodes { scope: Scope::Full, nodes }]);
+    let asked = w.subscribed.len();
+    assert!(asked >= 1);
+    w.run(ms(6000), 20);
+    assert_eq!(w.subscribed.len(), asked, "asked though subscribed");
+}
+
+#[test]
+fn a_node_left_out_of_a_whole_list_gets_nothing() {
+    let mut w = World::new(terms(), 4);
+    w.run(ms(500), 100);
+    let kept: Vec<NodeEntry> = w.nodes.values().copied().filter(|e| e.node != 2).collect();
+    w.nodes.get_mut(&2).unwrap().readiness = Readiness::Gone;
+    w.step(vec![Event::Nodes { scope: Scope::Full, nodes: kept }]);
+    w.run(ms(1000), 100);
+}
--- /dev/null
+++ b/tests/marshal/rules.rs
@@ -0,0 +1,92 @@
+//! Seeded random runs: whatever comes in, the five rules hold after every step.
+
+use crate::world::{ms, terms, World};
+use ivydrift::port::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// Any outcome after any time, by the die.
+fn anyhow(_: &NodeEntry, _: usize, _: std::time::Duration, die: u64) -> (Outcome, std::time::Duration) {
+    let outcome = match die % 16 {
+        0 => Outcome::Error,
+        1 => Outcome::Full,
+        2 => Outcome::NoConnection,
+        3 => Outcome::Reset,
+        4 => return (Outcome::Ok, ms(60_000)),
+        _ => Outcome::Ok,
+    };
+    (outcome, ms(10 + (die >> 5) % 400))
+}
+
+/// One random change of the world.
+fn disturb(w: &mut World, op: u8, a: u64) {
+    let node = (a % 8) as usize;
+    let newest = w.nodes.values().map(|e| e.build).max().unwrap_or(1);
+    let now = w.now;
+    match op {
+        0 => w.list(node, newest, Readiness::Ready, Some(now.saturating_sub(ms(a % 900)))),
+        1 => w.list(node, newest.min(4) + 1, Readiness::Ready, Some(now.saturating_sub(ms(300)))),
+        2 => w.list(node, w.nodes[&node].build, Readiness::Draining, w.nodes[&node].started),
+        3 => w.list(node, w.nodes[&node].build, Readiness::Gone, w.nodes[&node].started),
+        4 => w.tell(newest, 0, Course::OnTrial, 0.35, VoteReply::Unasked),
+        5 => w.tell(newest, 1, Course::OnTrial, 0.7, VoteReply::Counts),
+        6 => w.tell(newest, 1, Course::GoingBack, 0.0, VoteReply::Unasked),
+        7 => w.tell(newest, 2, Course::Released, 1.0, VoteReply::Unasked),
+        8 => w.tell(newest, 0, Course::OnTrial, 0.35, [VoteReply::Silent, VoteReply::Full][(a % 2) as usize]),
+        9 => w.step(vec![Event::Peer { from: 1, text: a.to_le_bytes().repeat((a % 5) as usize) }]),
+        10 => w.step(vec![Event::Disputed { node, method: (a % 3) as usize, age: ms(a % 4000) }]),
+        11 => w.step(vec![Event::ClientLeft { rpc: 1_000_000 }]),
+        _ => w.run(ms(100 + a % 1500), 20 + a % 300),
+    }
+}
+
+fn runs(terms: RolloutTerms) {
+    let config = Config { cases: 48, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let steps = prop::collection::vec((0u8..18, 0u64..1 << 40), 1..60);
+    TestRunner::new_with_rng(config, rng)
+        .run(&(steps, 0u64..1 << 60), |(steps, seed)| {
+            let mut w = World::new(terms.clone(), 8);
+            w.seed(seed);
+            w.behave = Box::new(anyhow);
+            w.run(ms(500), 100);
+            steps.into_iter().for_each(|(op, a)| disturb(&mut w, op, a));
+            w.run(ms(3000), 0);
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn rules_hold_whatever_comes() {
+    runs(terms());
+}
+
+#[test]
+fn rules_hold_by_method_and_with_guarded_stages() {
+    let mut t = terms();
+    (t.release.by_method, t.release.guarded_stages) = (true, 1);
+    t.methods[1].repeat = Repeat::Tokened { group: Group::Cell, window: ms(400) };
+    runs(t);
+}
+
+#[test]
+fn rules_hold_under_a_clock() {
+    let mut t = terms();
+    t.release.control = Control::Clock;
+    t.limits.retry_after = None;
+    runs(t);
+}
+
+#[test]
+fn same_events_same_actions() {
+    let history = |seed| {
+        let mut w = World::new(terms(), 8);
+        w.seed(seed);
+        w.behave = Box::new(anyhow);
+        w.run(ms(4000), 150);
+        w.sends.iter().map(|s| (s.0, s.1.node, s.2)).collect::<Vec<_>>()
+    };
+    assert_eq!(history(5), history(5));
+    assert_ne!(history(5), history(6));
+}
--- /dev/null
+++ b/tests/marshal/world.rs
@@ -0,0 +1,299 @@
+//! A small made-up world round one marshal: it hands in events, ends picks as told and, after every step,
+//! checks the five rules with accounts of its own.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ivydrift::policy::Marshal;
+use ivydrift::port::*;
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn terms() -> RolloutTerms {
+    let method = |repeat, utility| MethodTerms {
+        repeat,
+        soft_deadline: ms(600),
+        stretch: 0.0,
+        deadline: ms(2000),
+        utility,
+        late_utility: 0.0,
+        streamed: false,
+    };
+    let tokened = Repeat::Tokened { group: Group::All, window: ms(1500) };
+    RolloutTerms {
+        seed: 7,
+        marshal: 0,
+        marshals: 2,
+        zone: 0,
+        ask_discovery: false,
+        methods: vec![
+            method(Repeat::Idempotent, 1.0),
+            method(tokened, 2.0),
+            method(Repeat::NonIdempotent, 3.0),
+        ],
+        tenants: vec![],
+        over_share_utility: 0.0,
+        kinds: 1,
+        release: ReleaseTerms {
+            control: Control::Votes,
+            on_votes: 1,
+            back_votes: 1,
+            shares: vec![0.25, 0.5, 1.0],
+            caps: vec![0.35, 0.7, 1.0],
+            window: ms(2000),
+            free: 2.0,
+            by_method: false,
+            guarded_stages: 0,
+            one_way: false,
+            in_place: false,
+            bake: ms(1000),
+            vote_life: ms(4000),
+            vote_wait: ms(500),
+            vote_rate: 50.0,
+            flag_share: 0.0,
+        },
+        rules: RuleTerms {
+            drain_grace: ms(500),
+            cold_from: 0.4,
+            warm_within: ms(4000),
+            fall_multiple: 3.0,
+            fall_window: ms(1000),
+            ask_within: ms(10000),
+        },
+        limits: LimitTerms {
+            most_picks: 3,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            peers: true,
+            retry_after: Some(ms(1000)),
+        },
+    }
+}
+
+struct Sent {
+    rpc: RpcIx,
+    pick: usize,
+    entry: NodeEntry,
+    ends: Duration,
+    outcome: Outcome,
+    took: Duration,
+}
+
+struct Owed {
+    method: usize,
+    until: Duration,
+    /// Each pick: when sent, and how it ended.
+    picks: Vec<(Duration, Option<Outcome>)>,
+}
+
+/// How a node ends a pick: node, method, hour and a die.
+pub type Behaviour = Box<dyn Fn(&NodeEntry, usize, Duration, u64) -> (Outcome, Duration)>;
+
+pub struct World {
+    pub marshal: Marshal,
+    pub now: Duration,
+    pub terms: RolloutTerms,
+    pub nodes: BTreeMap<NodeIx, NodeEntry>,
+    pub behave: Behaviour,
+    pub votes: Vec<(Duration, Verdict, usize, Build)>,
+    pub pushed_back: Vec<Option<Duration>>,
+    pub subscribed: Vec<Duration>,
+    /// Every pick sent: when, where, which method.
+    pub sends: Vec<(Duration, NodeEntry, usize)>,
+    out: Vec<Sent>,
+    owed: BTreeMap<RpcIx, Owed>,
+    taken: Vec<(Duration, usize)>,
+    oks: Vec<Duration>,
+    stage: Option<(Build, usize, Course, f64)>,
+    next: RpcIx,
+    die: u64,
+}
+
+impl World {
+    /// Warm nodes of build 1, which is released.
+    pub fn new(terms: RolloutTerms, nodes: usize) -> Self {
+        let mut world = World {
+            marshal: Marshal::new(&terms),
+            now: ms(100_000),
+            terms,
+            nodes: BTreeMap::new(),
+            behave: Box::new(|_, _, _, _| (Outcome::Ok, ms(60))),
+            votes: Vec::new(),
+            pushed_back: Vec::new(),
+            subscribed: Vec::new(),
+            sends: Vec::new(),
+            out: Vec::new(),
+            owed: BTreeMap::new(),
+            taken: Vec::new(),
+            oks: Vec::new(),
+            stage: None,
+            next: 0,
+            die: 1,
+        };
+        world.tell(1, 2, Course::Released, 1.0, VoteReply::Unasked);
+        (0..nodes).for_each(|n| world.list(n, 1, Readiness::Ready, None));
+        world
+    }
+
+    pub fn roll(&mut self) -> u64 {
+        self.die = self.die.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        self.die >> 33
+    }
+
+    pub fn seed(&mut self, seed: u64) {
+        self.die = seed;
+    }
+
+    pub fn list(&mut self, node: NodeIx, build: Build, readiness: Readiness, started: Option<Duration>) {
+        let entry = NodeEntry {
+            node,
+            kind: 0,
+            power: 1.0,
+            cell: node / 2,
+            zone: node % 2,
+            readiness,
+            started,
+            build,
+        };
+        self.nodes.insert(node, entry);
+        self.step(vec![Event::Nodes { scope: Scope::Delta, nodes: vec![entry] }]);
+    }
+
+    pub fn tell(&mut self, build: Build, stage: usize, course: Course, cap: f64, reply: VoteReply) {
+        if matches!(reply, VoteReply::Unasked | VoteReply::Counts) {
+            self.stage = Some((build, stage, course, cap));
+        }
+        self.step(vec![Event::Stage { build, stage, course, reply, cap, age: ms(0) }]);
+    }
+
+    pub fn offer(&mut self, method: usize) {
+        let (rpc, left) = (self.next, ms(1000 + 500 * (method as u64 % 3)));
+        self.next += 1;
+        self.owed.insert(rpc, Owed { method, until: self.now + left, picks: vec![] });
+        self.taken.push((self.now, method));
+        let (tenant, key, work) = (None, None, None);
+        self.step(vec![Event::Rpc { rpc, method, tenant, key, left, work, repeated: false }]);
+    }
+
+    /// Lets time pass, with RPCs of all methods at a steady rate.
+    pub fn run(&mut self, span: Duration, rate: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            for _ in 0..rate / 50 + u64::from(self.roll() % 50 < rate % 50) {
+                let method = self.roll() as usize % self.terms.methods.len();
+                self.offer(method);
+            }
+            self.pass();
+        }
+    }
+
+    /// One tick: what is due ends, then the marshal's timer.
+    pub fn pass(&mut self) {
+        self.now += ms(20);
+        let now = self.now;
+        let (due, out): (Vec<_>, Vec<_>) = self.out.drain(..).partition(|s| s.ends <= now);
+        self.out = out;
+        for sent in due {
+            let Sent { rpc, pick, entry, outcome, took, .. } = sent;
+            let open = self.owed.get_mut(&rpc).map(|o| o.picks[pick].1 = Some(outcome)).is_some();
+            let done = !open || outcome == Outcome::Ok;
+            if outcome == Outcome::Ok {
+                self.oks.push(now);
+                self.owed.remove(&rpc);
+            }
+            let (node, load) = (entry.node, Load::default());
+            self.step(vec![Event::PickEnded { rpc, pick, node, outcome, took, done, load }]);
+        }
+        self.step(vec![Event::Timer { tag: 0 }]);
+        let late = self.owed.iter().find(|(_, o)| now > o.until + ms(20));
+        assert!(late.is_none(), "rule 1: an RPC went without answer");
+    }
+
+    pub fn step(&mut self, events: Vec<Event>) {
+        for action in self.marshal.handle(self.now, events) {
+            match action {
+                Action::Pick { rpc, node, within } => self.sent(rpc, node, within),
+                Action::PushBack { rpc, retry_after } => {
+                    let owed = self.owed.remove(&rpc).expect("rule 1: a second answer");
+                    let ran = owed.picks.iter().any(|p| p.1.is_none_or(|o| !o.never_ran()));
+                    let unsafe_method = self.terms.methods[owed.method].repeat == Repeat::NonIdempotent;
+                    assert!(!ran || !unsafe_method, "rule 2: pushed back though it may have run");
+                    self.pushed_back.push(retry_after);
+                }
+                Action::Abort { rpc } => {
+                    self.owed.remove(&rpc).expect("rule 1: a second answer");
+                }
+                Action::Vote { verdict, stage, build } => self.votes.push((self.now, verdict, stage, build)),
+                Action::Subscribe(true) => self.subscribed.push(self.now),
+                _ => {}
+            }
+        }
+    }
+
+    fn sent(&mut self, rpc: RpcIx, node: NodeIx, within: Duration) {
+        let (now, entry, die) = (self.now, self.nodes[&node], self.roll());
+        let owed = self.owed.get_mut(&rpc).expect("rule 1: a pick after the answer");
+        assert!(now < owed.until, "rule 1: a pick after the deadline");
+        assert!(owed.picks.iter().all(|p| p.1.is_some()), "rule 2: two picks in flight");
+        assert!(owed.picks.len() < self.terms.limits.most_picks, "too many picks");
+        let mut ran = owed.picks.iter().filter(|p| p.1.is_some_and(|o| !o.never_ran()));
+        match (self.terms.methods[owed.method].repeat, ran.next()) {
+            (Repeat::NonIdempotent, Some(_)) => panic!("rule 2: a non-idempotent RPC was sent again"),
+            (Repeat::Tokened { window, .. }, Some(first)) => {
+                assert!(now < first.0 + window, "rule 2: a tokened repeat after its window")
+            }
+            _ => {}
+        }
+        assert_eq!(entry.readiness, Readiness::Ready, "rule 3: a pick at a node that drains or is gone");
+        let (method, until) = (owed.method, owed.until);
+        owed.picks.push((now, None));
+        let pick = owed.picks.len() - 1;
+        self.sends.push((now, entry, method));
+        self.check_cold(&entry);
+        self.check_exposure(&entry, method);
+        let (outcome, took) = (self.behave)(&entry, method, now, die);
+        let limit = within.min(until - now);
+        let (outcome, took) = if took > limit { (Outcome::Timeout, limit) } else { (outcome, took) };
+        self.out.push(Sent { rpc, pick, entry, ends: now + took, outcome, took });
+    }
+
+    fn check_cold(&self, entry: &NodeEntry) {
+        let rules = &self.terms.rules;
+        let Some(started) = entry.started.filter(|&at| self.now < at + rules.warm_within) else { return };
+        let lately = |at: &&(Duration, NodeEntry, usize)| at.0 + rules.fall_window > self.now;
+        let same = self.sends.iter().rev().take_while(lately);
+        let count = same.filter(|s| s.1.node == entry.node && s.1.started == entry.started).count() as f64;
+        let grown = (self.now - started).as_secs_f64() / rules.warm_within.as_secs_f64();
+        let present = rules.cold_from + (1.0 - rules.cold_from) * grown;
+        // More than one node's answers a second over any three seconds cannot be what a node can do.
+        let oks = self.oks.iter().rev().take_while(|&&at| at + ms(15_000) > self.now).count() as f64;
+        let most = rules.fall_multiple * present * rules.fall_window.as_secs_f64() * oks / 3.0;
+        assert!(count <= most.max(1.0), "rule 4: {count} picks at a cold node, {most} at the most");
+    }
+
+    fn check_exposure(&self, entry: &NodeEntry, method: usize) {
+        let (build, stage, course, cap) = self.stage.expect("a stage is told first");
+        let release = &self.terms.release;
+        let (stage, cap) = match entry.build {
+            b if b > build => (0, release.caps[0]),
+            b if b == build && course != Course::Released => (stage, cap),
+            _ => return,
+        };
+        assert!(cap > 0.0, "rule 5: a pick at cap 0");
+        let safe = self.terms.methods[method].repeat == Repeat::Idempotent;
+        assert!(stage >= release.guarded_stages || safe, "rule 5: a guarded stage");
+        let since = self.now.saturating_sub(release.window);
+        let counts = |m: usize| !release.by_method || m == method;
+        let sent =
+            self.sends.iter().filter(|s| s.0 > since && s.1.build == entry.build && counts(s.2)).count();
+        let taken = self.taken.iter().filter(|t| t.0 > since && counts(t.1)).count();
+        assert!(sent as f64 <= release.free + cap * taken as f64, "rule 5: {sent} picks of {taken} RPCs");
+    }
+
+    pub fn voted(&self, verdict: Verdict) -> bool {
+        self.votes.iter().any(|v| v.1 == verdict)
+    }
+}
