--- a/src/policy.rs
+++ b/src/policy.rs
@@ -418,8 +418,8 @@
 
 /// Tells a build that slows old and new nodes alike, in step with its traffic, from a slow dependency, a burst
 /// or costly RPCs: while the older arm is slower than before the trial, the build gets nothing for a while. If
-/// the older arm recovers and is slowed again with the build's return, the build is guilty; else it is cleared
-/// for this stage. Acts only on trial, while older nodes are the majority. Hurts by its delay.
+/// the older arm recovers wholly and is slowed again with the build's return, the build is guilty; else it is
+/// cleared for this stage. Acts only on trial, while older nodes are the majority. Hurts by its delay.
 impl Strain {
     fn book(&mut self, at: Duration, one: Tally) {
         match self.since {
@@ -430,18 +430,26 @@
     }
 
     /// Whether the older arm is strained, and whether the build is found guilty of it.
-    fn weigh(&mut self, now: Duration, trial: (Build, usize), apart: bool) -> (bool, bool) {
+    fn weigh(&mut self, now: Duration, trial: (Build, usize), nodes: usize, apart: bool) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
-        let strained = below(self.lately, calm, STRAINED, 0.5, CALM * (1.0 - CALM));
+        let var = CALM * (1.0 - CALM);
+        let strained = below(self.lately, calm, STRAINED, 0.5, var);
+        if strained && nodes == 0 {
+            // Slowed before the build had any node here.
+            self.cleared = Some(trial);
+        }
         if self.cleared == Some(trial) {
             return (false, false);
         }
         match (self.since, self.relieved) {
-            (None, Some(_)) if strained => return (true, true),
+            (None, Some(_)) if strained && below(self.lately, self.off, 0.0, 0.5, var) => {
+                return (true, true)
+            }
             (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
             (None, None) if strained && apart => (self.since, self.off) = (Some(now), Tally::default()),
             (Some(since), _) if now >= since + ABSTAIN[0] => {
-                let relief = below(self.lately, self.off, 0.0, 0.35, CALM * (1.0 - CALM));
+                // Only a full recovery counts: other troubles ease by themselves, and by halves.
+                let relief = self.off.mean() > CALM - 0.05 && below(self.lately, self.off, 0.0, 0.35, var);
                 self.relieved = relief.then_some(now);
                 self.cleared = (!relief).then_some(trial);
                 (self.since, self.lately) = (None, Tally::default());
@@ -541,7 +549,7 @@
         if released {
             self.past.fill(Ledger::default());
         }
-        self.before = self.arm(released, self.past.clone()).0;
+        self.before = self.arm(released, self.past.clone(), false).0;
         let void = |b: &&mut Book| b.entry.build == build || (b.entry.build == self.newest && !released);
         self.books.iter_mut().filter(void).for_each(|b| b.methods.fill(Ledger::default()));
         self.newest = build;
@@ -563,15 +571,18 @@
 
     /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble that
     /// strikes a few nodes, whatever their build, convicts no build. Guards against quick errors, crashes and
-    /// wrong answers of single machines; it delays the verdict on a build whose failures are rare.
-    fn arm(&self, new: bool, mut sums: Vec<Ledger>) -> (Vec<Ledger>, usize) {
+    /// wrong answers of single machines; it delays the verdict on a build whose failures are rare. Too few nodes
+    /// on trial to leave any out are held against the older arm's worst quarter instead.
+    fn arm(&self, new: bool, mut sums: Vec<Ledger>, few: bool) -> (Vec<Ledger>, usize) {
         let faults = |b: &Book| {
             b.methods.iter().map(|l| l.sound.n - l.sound.good + l.paid.n - l.paid.good).sum::<f64>()
         };
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
         let mut books: Vec<&Book> = self.books.iter().filter(mine).collect();
         books.sort_by(|a, b| faults(b).total_cmp(&faults(a)).then(a.entry.node.cmp(&b.entry.node)));
-        books.iter().skip(books.len() / 4).for_each(|b| b.add_to(&mut sums));
+        let quarter = books.len() / 4;
+        let kept = if few { &books[..quarter.max(1).min(books.len())] } else { &books[quarter..] };
+        kept.iter().for_each(|b| b.add_to(&mut sums));
         (sums, books.len())
     }
 
@@ -579,8 +590,11 @@
     fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
         // A released build is watched against what the earlier one did before the trial.
         let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
-        let old = if released { self.before.clone() } else { self.arm(false, self.past.clone()).0 };
-        let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()]);
+        let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()], false);
+        let old = match released {
+            true => self.before.clone(),
+            false => self.arm(false, self.past.clone(), nodes < 4).0,
+        };
         let count = cx.law.duties.len();
         let mut pairs = vec![Pair::default(); count + 2];
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
@@ -642,7 +656,7 @@
         let old = self.books.iter().filter(|b| b.ready && b.entry.build < news.build).count();
         let trial = (news.build, news.stage);
         let (held, shared) =
-            if released { (false, false) } else { self.strain.weigh(cx.now, trial, old > nodes) };
+            if released { (false, false) } else { self.strain.weigh(cx.now, trial, nodes, old > nodes) };
         let found = worse(1.0).or(shared.then_some(asked.len()));
         // After release no other arm shares the day's troubles: lateness and slowness must last longer.
         let ponder = if released && found >= Some(asked.len() - 2) { STRAIN } else { PONDER };
--- a/tests/marshal/cases.rs
+++ b/tests/marshal/cases.rs
@@ -205,3 +205,20 @@
     w.step(vec![Event::Nodes { scope: Scope::Full, nodes: kept }]);
     w.run(ms(1000), 100);
 }
+
+#[test]
+fn a_cold_node_is_not_pushed_over_however_quick_it_looks() {
+    let mut w = World::new(terms(), 8);
+    w.behave = Box::new(|e, _, _, _| (Outcome::Ok, ms(if e.node == 0 { 10 } else { 200 })));
+    w.run(ms(8000), 100);
+    let start = w.now;
+    w.list(0, 1, Readiness::Ready, Some(start));
+    w.run(ms(4000), 100);
+    for t in 0..30 {
+        let (from, to) = (start + ms(100 * t), start + ms(100 * t + 1000));
+        let picks = w.sends.iter().filter(|s| s.1.node == 0 && s.0 > from && s.0 <= to).count() as f64;
+        // Three times what is there of a node's share of 100 RPCs a second, when the window ends.
+        let most = 3.0 * (0.4 + 0.6 * (to - start).as_secs_f64() / 4.0) * 100.0 / 8.0;
+        assert!(picks <= most, "{picks} picks in a second, {most} at the most");
+    }
+}
