--- a/src/policy.rs
+++ b/src/policy.rs
@@ -47,6 +47,8 @@
 const RETRIES: [f64; 2] = [0.2, 20.0];
 /// A node's first limit on own picks in flight.
 const FIRST_LIMIT: f64 = 4.0;
+/// Answers slower than this part of the soft deadline mean a queue at the node.
+const SLOW: f64 = 0.35;
 const COLD_LIMIT: f64 = 2.0;
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
 const HEAD_START: f64 = 0.2;
@@ -134,7 +136,7 @@
             self.took += 0.15 * (took - self.took);
         }
         // Slow answers mean a queue: send less, once a round trip; quick ones near the limit, more.
-        let slow = outcome == Outcome::Timeout || took > 0.55 * soft;
+        let slow = outcome == Outcome::Timeout || took > SLOW * soft;
         if slow && now > self.cut + secs(took) {
             (self.card.limit, self.cut) = ((self.card.limit * 0.8).max(1.0), now);
         } else if !slow && failed == 0.0 && self.out.len() as f64 > 0.6 * self.card.limit - 1.0 {
@@ -432,7 +434,7 @@
     /// Whether the older arm is strained, and whether the build is found guilty of it.
     fn weigh(&mut self, now: Duration, trial: (Build, usize), nodes: usize, apart: bool) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
-        let var = CALM * (1.0 - CALM);
+        let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
         let strained = below(self.lately, calm, STRAINED, 0.5, var);
         if strained && nodes == 0 {
             // Slowed before the build had any node here.
@@ -446,7 +448,9 @@
                 return (true, true)
             }
             (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
-            (None, None) if strained && apart => (self.since, self.off) = (Some(now), Tally::default()),
+            (None, None) if (strained || joined) && apart && nodes > 0 => {
+                (self.since, self.off) = (Some(now), Tally::default())
+            }
             (Some(since), _) if now >= since + ABSTAIN[0] => {
                 // Only a full recovery counts: other troubles ease by themselves, and by halves.
                 let relief = self.off.mean() > CALM - 0.05 && below(self.lately, self.off, 0.0, 0.35, var);
@@ -468,9 +472,6 @@
         match note {
             Note::Card(card) => self.listed(&card, cx),
             Note::Booked { entry, method, at, outcome, took } => {
-                if self.excused(&entry) {
-                    return self.books[entry.node].methods.fill(Ledger::default());
-                }
                 let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
                 let Some(book) = self.books.get_mut(entry.node).filter(same) else { return };
                 let (soft, ok) = (cx.law.duties[method].soft, outcome == Outcome::Ok);
@@ -502,7 +503,10 @@
                 self.sums[usize::from(build != self.newest)].add(sum, 1.0);
             }
             Note::Told(Event::Peer { from, text }) => {
-                self.heard.extend(read_pairs(&text).map(|(build, pairs)| (from, (cx.now, build, pairs))));
+                let Some((build, abstains, pairs)) = read_pairs(&text) else { return };
+                self.heard.insert(from, (cx.now, build, pairs));
+                // All abstain together, or the build's traffic does not cease.
+                self.strain.joined |= abstains && build == self.newest;
             }
             Note::Told(event) => {
                 let Some((news, reply)) = News::read(cx, &event) else { return };
@@ -558,15 +562,16 @@
         self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
-    /// While nodes of both builds fail, what an ill node on trial does is not held against its build, unless
-    /// most nodes on trial are ill. Guards against fleet trouble that strikes the few nodes on trial as well.
-    fn excused(&self, entry: &NodeEntry) -> bool {
-        let ready = |b: &&Book| b.ready;
-        let (trial, others): (Vec<&Book>, Vec<&Book>) =
-            self.books.iter().filter(ready).partition(|b| b.entry.build == self.newest);
-        let ill = trial.iter().filter(|b| b.ill).count();
-        let mine = trial.iter().any(|b| b.ill && b.entry.node == entry.node);
-        mine && others.iter().any(|b| b.ill) && 2 * ill <= trial.len() + 1
+    /// While nodes of both builds fail, what ill nodes on trial did is not held against their build, unless most
+    /// of them are ill. Guards against fleet trouble that strikes the few nodes on trial as well.
+    fn excuse(&mut self) {
+        let newest = self.newest;
+        let ill = |b: &&mut Book| b.ready && b.ill && b.entry.build == newest;
+        let others = self.books.iter().any(|b| b.ready && b.ill && b.entry.build != newest);
+        let nodes = self.books.iter().filter(|b| b.ready && b.entry.build == newest).count();
+        if others && 2 * self.books.iter_mut().filter(ill).count() <= nodes + 1 {
+            self.books.iter_mut().filter(ill).for_each(|b| b.methods.fill(Ledger::default()));
+        }
     }
 
     /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble that
@@ -618,12 +623,16 @@
             }
             self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
         }
+        self.excuse();
         let (mut pairs, nodes) = self.own_pairs(cx);
         let (new_first, starved) = (index(pairs[0][0]) >= index(pairs[0][1]), self.strain.since.is_some());
         cx.put(FRONT, Note::Favour { newest: self.newest, new_first, starved });
         if cx.law.peers && cx.now >= self.told + 5 * LOOK && pairs.iter().any(|p| p[0].n >= 1.0) {
             self.told = cx.now;
-            cx.out.push(Action::Tell { to: None, text: write_pairs(self.newest, &pairs) });
+            cx.out.push(Action::Tell {
+                to: None,
+                text: write_pairs(self.newest, self.strain.since.is_some(), &pairs),
+            });
         }
         // Votes rest on own evidence, widened by fresh peers' and by the platform's sums.
         for (at, build, theirs) in self.heard.values() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -298,18 +298,19 @@
 }
 
 /// Counts for peers: the build, then four counts a question. Loss and repetition do no harm.
-pub fn write_pairs(build: Build, pairs: &[Pair]) -> Vec<u8> {
+pub fn write_pairs(build: Build, abstains: bool, pairs: &[Pair]) -> Vec<u8> {
     let counts = pairs.iter().flatten().flat_map(|t| [t.n, t.good]);
-    let words = [build as u16].into_iter().chain(counts.map(|x| x.clamp(0.0, 65535.0) as u16));
+    let words =
+        [build as u16, u16::from(abstains)].into_iter().chain(counts.map(|x| x.clamp(0.0, 65535.0) as u16));
     words.flat_map(u16::to_le_bytes).collect()
 }
 
-pub fn read_pairs(text: &[u8]) -> Option<(Build, Vec<Pair>)> {
+pub fn read_pairs(text: &[u8]) -> Option<(Build, bool, Vec<Pair>)> {
     let words: Vec<u16> = text.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
-    let (build, rest) = words.split_first()?;
+    let [build, abstains, counts @ ..] = &words[..] else { return None };
     let tally = |n: u16, good: u16| Tally { n: n.into(), good: good.min(n).into() };
-    let pairs = rest.chunks_exact(4).map(|w| [tally(w[0], w[1]), tally(w[2], w[3])]);
-    Some(((*build).into(), pairs.collect()))
+    let pairs = counts.chunks_exact(4).map(|w| [tally(w[0], w[1]), tally(w[2], w[3])]);
+    Some(((*build).into(), *abstains != 0, pairs.collect()))
 }
 
 // ---- the parts' own state --------------------------------------------------------------------------------
@@ -393,6 +394,8 @@
     pub lately: Tally,
     pub off: Tally,
     pub since: Option<Duration>,
+    /// A peer has begun to abstain.
+    pub joined: bool,
     /// The older arm recovered without the build, at this time.
     pub relieved: Option<Duration>,
     pub cleared: Option<(Build, usize)>,
