--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,11 +36,11 @@
 const STRAINED: f64 = 0.03;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
 const ABSTAIN: [Duration; 3] =
-    [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(5)];
+    [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(3)];
 /// Peers' counts older than this say nothing.
 const FRESH: Duration = Duration::from_secs(3);
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
-const COLD_PART: f64 = 0.75;
+const COLD_PART: f64 = 1.2;
 /// The served rate is averaged over this many seconds.
 const SERVED_OVER: f64 = 3.0;
 /// Repeats of picks that may have run: earned per RPC taken, and the most in store.
