--- a/src/policy.rs
+++ b/src/policy.rs
@@ -420,7 +420,7 @@
 
 /// Tells a build that slows old and new nodes alike, in step with its traffic, from a slow dependency, a burst
 /// or costly RPCs: while the older arm is slower than before the trial, the build gets nothing for a while. If
-/// the older arm recovers wholly and is slowed again with the build's return, the build is guilty; else it is
+/// the older arm mostly recovers and is slowed again with the build's return, the build is guilty; else it is
 /// cleared for this stage. Acts only on trial, while older nodes are the majority. Hurts by its delay.
 impl Strain {
     fn book(&mut self, at: Duration, one: Tally) {
@@ -432,7 +432,9 @@
     }
 
     /// Whether the older arm is strained, and whether the build is found guilty of it.
-    fn weigh(&mut self, now: Duration, trial: (Build, usize), nodes: usize, apart: bool) -> (bool, bool) {
+    fn weigh(
+        &mut self, now: Duration, trial: (Build, usize), nodes: usize, apart: bool, [off, on]: Pair,
+    ) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
         let strained = below(self.lately, calm, STRAINED, 0.5, var);
@@ -444,16 +446,15 @@
             return (false, false);
         }
         match (self.since, self.relieved) {
-            (None, Some(_)) if strained && below(self.lately, self.off, 0.0, 0.5, var) => {
-                return (true, true)
-            }
+            (None, Some(_)) if strained && below(on, off, 0.0, 0.5, var) => return (true, true),
             (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
             (None, None) if (strained || joined) && apart && nodes > 0 => {
                 (self.since, self.off) = (Some(now), Tally::default())
             }
             (Some(since), _) if now >= since + ABSTAIN[0] => {
-                // Only a full recovery counts: other troubles ease by themselves, and by halves.
-                let relief = self.off.mean() > CALM - 0.05 && below(self.lately, self.off, 0.0, 0.35, var);
+                // Recovery by more than half counts: other troubles ease by themselves, and by less.
+                let whole = off.mean() > 0.5 * (on.mean() + CALM);
+                let relief = whole && below(on, off, 0.0, 0.5, var);
                 self.relieved = relief.then_some(now);
                 self.cleared = (!relief).then_some(trial);
                 (self.since, self.lately) = (None, Tally::default());
@@ -592,16 +593,26 @@
     }
 
     /// The questions asked of both arms: payoff, soundness by method, pace; and how many nodes are on trial.
-    fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
+    fn own_pairs(&mut self, cx: &Cx) -> (Vec<Pair>, usize) {
         // A released build is watched against what the earlier one did before the trial.
         let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
         let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()], false);
+        if self.news.is_some_and(|n| n.build == self.newest && n.course == Course::OnTrial && n.stage == 0) {
+            // Trouble just before the trial must not pass for calm: a better record of the first stage counts.
+            let calmer = self.arm(false, self.past.clone(), false).0;
+            let paid = |l: &[Ledger]| l.iter().fold(Tally::default(), |t, l| t.plus(l.paid));
+            let (now, then) = (paid(&calmer), paid(&self.before));
+            if now.n >= 0.5 * then.n && now.mean() > then.mean() {
+                self.before = calmer;
+            }
+        }
         let old = match released {
             true => self.before.clone(),
             false => self.arm(false, self.past.clone(), nodes < 4).0,
         };
         let count = cx.law.duties.len();
         let mut pairs = vec![Pair::default(); count + 2];
+        pairs.push([self.strain.off, self.strain.lately]);
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
             join(&mut pairs[0], &[n.paid, o.paid]);
             join(&mut pairs[1 + i % count], &[n.sound, o.sound]);
@@ -653,7 +664,7 @@
         }
         // Questions in order: soundness by method, soundness of all, payoff, pace; with margin and variance.
         let (mut sound, payoff) = (Pair::default(), pairs.remove(0));
-        let pace = pairs.pop().unwrap_or_default();
+        let (strain, pace) = (pairs.pop().unwrap_or_default(), pairs.pop().unwrap_or_default());
         pairs.iter().for_each(|p| join(&mut sound, p));
         let var = |p: &Pair| p[1].mean() * (1.0 - p[1].mean());
         let slower = MARGIN[2] + MARGIN[3] / (nodes.max(1) as f64).sqrt();
@@ -664,8 +675,11 @@
         let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v));
         let old = self.books.iter().filter(|b| b.ready && b.entry.build < news.build).count();
         let trial = (news.build, news.stage);
-        let (held, shared) =
-            if released { (false, false) } else { self.strain.weigh(cx.now, trial, nodes, old > nodes) };
+        let (held, shared) = if released {
+            (false, false)
+        } else {
+            self.strain.weigh(cx.now, trial, nodes, old > nodes, strain)
+        };
         let found = worse(1.0).or(shared.then_some(asked.len()));
         // After release no other arm shares the day's troubles: lateness and slowness must last longer.
         let ponder = if released && found >= Some(asked.len() - 2) { STRAIN } else { PONDER };
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,6 +22,10 @@
     pub fn add(&mut self, other: Tally, part: f64) {
         *self = Tally { n: self.n + part * other.n, good: self.good + part * other.good };
     }
+    pub fn plus(mut self, other: Tally) -> Tally {
+        self.add(other, 1.0);
+        self
+    }
     pub fn mean(&self) -> f64 {
         self.good / self.n.max(1e-9)
     }
