Hold the test by abstention within one stage; watch a build alone against before

Cause: the test compared figures across a stage's change; and a build on all nodes was compared with the older arm's last record, which it had itself slowed.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -442,11 +442,19 @@
             // Slowed before the build had any node here.
             self.cleared = Some(trial);
         }
+        if self.stage.replace(trial) != Some(trial) {
+            // Another share of the traffic: what was seen at the last one cannot be compared.
+            (self.since, self.relieved) = (None, None);
+        }
         if self.cleared == Some(trial) {
             return (false, false);
         }
         match (self.since, self.relieved) {
-            (None, Some(_)) if strained && below(on, off, 0.0, 0.5, var) => return (true, true),
+            (None, Some(_))
+                if strained && below(on, off, 0.0, 0.5, var) && 2.0 * on.mean() < self.level + off.mean() =>
+            {
+                return (true, true)
+            }
             (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
             (None, None) if (strained || joined) && apart && nodes > 0 => {
                 (self.since, self.off) = (Some(now), Tally::default())
@@ -456,7 +464,7 @@
                 let whole = off.mean() > 0.5 * (on.mean() + CALM);
                 let relief = whole && below(on, off, 0.0, 0.5, var);
                 self.relieved = relief.then_some(now);
-                self.cleared = (!relief).then_some(trial);
+                (self.level, self.cleared) = (on.mean(), (!relief).then_some(trial));
                 (self.since, self.lately) = (None, Tally::default());
             }
             _ => {}
@@ -592,21 +600,19 @@
         (sums, books.len())
     }
 
-    /// The questions asked of both arms: payoff, soundness by method, pace; and how many nodes are on trial.
-    fn own_pairs(&mut self, cx: &Cx) -> (Vec<Pair>, usize) {
-        // A released build is watched against what the earlier one did before the trial.
+    /// Released, or nearly all of the fleet: then the build is watched against what the earlier one did before
+    /// the trial, for the older arm's last record shares whatever the build did to all.
+    fn alone(&self) -> bool {
         let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
+        let (new, old): (Vec<&Book>, Vec<&Book>) =
+            self.books.iter().filter(|b| b.ready).partition(|b| b.entry.build == self.newest);
+        released || 4 * old.len() < new.len()
+    }
+
+    /// The questions asked of both arms: payoff, soundness by method, pace; and how many nodes are on trial.
+    fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
         let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()], false);
-        if self.news.is_some_and(|n| n.build == self.newest && n.course == Course::OnTrial && n.stage == 0) {
-            // Trouble just before the trial must not pass for calm: a better record of the first stage counts.
-            let calmer = self.arm(false, self.past.clone(), false).0;
-            let paid = |l: &[Ledger]| l.iter().fold(Tally::default(), |t, l| t.plus(l.paid));
-            let (now, then) = (paid(&calmer), paid(&self.before));
-            if now.n >= 0.5 * then.n && now.mean() > then.mean() {
-                self.before = calmer;
-            }
-        }
-        let old = match released {
+        let old = match self.alone() {
             true => self.before.clone(),
             false => self.arm(false, self.past.clone(), nodes < 4).0,
         };
@@ -681,8 +687,8 @@
             self.strain.weigh(cx.now, trial, nodes, old > nodes, strain)
         };
         let found = worse(1.0).or(shared.then_some(asked.len()));
-        // After release no other arm shares the day's troubles: lateness and slowness must last longer.
-        let ponder = if released && found >= Some(asked.len() - 2) { STRAIN } else { PONDER };
+        // Alone, no other arm shares the day's troubles: lateness and slowness must last longer.
+        let ponder = if self.alone() && found >= Some(asked.len() - 2) { STRAIN } else { PONDER };
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
         let guilty = self.guilty.is_some_and(|since| cx.now >= since + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,10 +22,6 @@
     pub fn add(&mut self, other: Tally, part: f64) {
         *self = Tally { n: self.n + part * other.n, good: self.good + part * other.good };
     }
-    pub fn plus(mut self, other: Tally) -> Tally {
-        self.add(other, 1.0);
-        self
-    }
     pub fn mean(&self) -> f64 {
         self.good / self.n.max(1e-9)
     }
@@ -403,6 +399,9 @@
     /// The older arm recovered without the build, at this time.
     pub relieved: Option<Duration>,
     pub cleared: Option<(Build, usize)>,
+    pub stage: Option<(Build, usize)>,
+    /// How brisk the older arm was before the test.
+    pub level: f64,
 }
 
 /// Chance: the hash of the seed and a counter.
