--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,12 +31,15 @@
 const STRAIN: Duration = Duration::from_secs(8);
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first.
 const PONDER: Duration = Duration::from_millis(800);
-/// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under strain.
+/// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under mild
+/// and under full strain.
 const CALM: f64 = 0.75;
-const STRAINED: f64 = 0.03;
+const STRAINED: [f64; 2] = [0.03, 0.08];
+/// How much brisker the older arm must be without the build.
+const EASED: f64 = 0.1;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
 const ABSTAIN: [Duration; 3] =
-    [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(3)];
+    [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(5)];
 /// Peers' counts older than this say nothing.
 const FRESH: Duration = Duration::from_secs(3);
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
@@ -424,9 +427,11 @@
 /// cleared for this stage. Acts only on trial, while older nodes are the majority. Hurts by its delay.
 impl Strain {
     fn book(&mut self, at: Duration, one: Tally) {
-        match self.since {
-            None => self.lately.add(one, 1.0),
-            Some(since) if at >= since + ABSTAIN[1] => self.off.add(one, 1.0),
+        // What was sent before the build's return, and is slow, ends after it: not counted.
+        match (self.since, self.relieved) {
+            (None, Some(relieved)) if at < relieved + 5 * LOOK => {}
+            (None, _) => self.lately.add(one, 1.0),
+            (Some(since), _) if at >= since + ABSTAIN[1] => self.off.add(one, 1.0),
             _ => {}
         }
     }
@@ -437,7 +442,9 @@
     ) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
-        let strained = below(self.lately, calm, STRAINED, 0.5, var);
+        // Under mild strain the vote on waits a while, for a small effect cannot be told from chance.
+        let [mild, strained] = STRAINED.map(|margin| below(self.lately, calm, margin, 0.5, var));
+        self.mild = mild.then(|| self.mild.unwrap_or(now));
         if strained && nodes == 0 {
             // Slowed before the build had any node here.
             self.cleared = Some(trial);
@@ -451,7 +458,9 @@
         }
         match (self.since, self.relieved) {
             (None, Some(_))
-                if strained && below(on, off, 0.0, 0.5, var) && 2.0 * on.mean() < self.level + off.mean() =>
+                if strained
+                    && below(on, off, EASED, 0.3, var)
+                    && 2.0 * on.mean() < self.level + off.mean() =>
             {
                 return (true, true)
             }
@@ -462,7 +471,7 @@
             (Some(since), _) if now >= since + ABSTAIN[0] => {
                 // Recovery by more than half counts: other troubles ease by themselves, and by less.
                 let whole = off.mean() > 0.5 * (on.mean() + CALM);
-                let relief = whole && below(on, off, 0.0, 0.5, var);
+                let relief = whole && below(on, off, EASED, 0.3, var);
                 self.relieved = relief.then_some(now);
                 (self.level, self.cleared) = (on.mean(), (!relief).then_some(trial));
                 (self.since, self.lately) = (None, Tally::default());
@@ -472,7 +481,8 @@
         if self.since.is_none() {
             self.lately.add(self.lately, -0.05);
         }
-        (strained || self.since.is_some() || self.relieved.is_some(), false)
+        let waits = strained || self.mild.is_some_and(|since| now < since + ABSTAIN[0]);
+        (waits || self.since.is_some() || self.relieved.is_some(), false)
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -400,6 +400,8 @@
     pub relieved: Option<Duration>,
     pub cleared: Option<(Build, usize)>,
     pub stage: Option<(Build, usize)>,
+    /// Since when the older arm has been mildly strained.
+    pub mild: Option<Duration>,
     /// How brisk the older arm was before the test.
     pub level: f64,
 }
