--- a/src/policy.rs
+++ b/src/policy.rs
@@ -31,12 +31,13 @@
 const STRAIN: Duration = Duration::from_secs(8);
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first.
 const PONDER: Duration = Duration::from_millis(800);
-/// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under mild
-/// and under full strain.
+/// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under strain.
 const CALM: f64 = 0.75;
-const STRAINED: [f64; 2] = [0.03, 0.08];
+const STRAINED: f64 = 0.03;
+/// The part of the fleet that must be ready and sound for the test to tell anything.
+const WHOLE: f64 = 0.85;
 /// How much brisker the older arm must be without the build.
-const EASED: f64 = 0.1;
+const EASED: f64 = 0.05;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
 const ABSTAIN: [Duration; 3] =
     [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(5)];
@@ -442,9 +443,7 @@
     ) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
-        // Under mild strain the vote on waits a while, for a small effect cannot be told from chance.
-        let [mild, strained] = STRAINED.map(|margin| below(self.lately, calm, margin, 0.5, var));
-        self.mild = mild.then(|| self.mild.unwrap_or(now));
+        let strained = below(self.lately, calm, STRAINED, 0.5, var);
         if strained && nodes == 0 {
             // Slowed before the build had any node here.
             self.cleared = Some(trial);
@@ -481,8 +480,7 @@
         if self.since.is_none() {
             self.lately.add(self.lately, -0.05);
         }
-        let waits = strained || self.mild.is_some_and(|since| now < since + ABSTAIN[0]);
-        (waits || self.since.is_some() || self.relieved.is_some(), false)
+        (strained || self.since.is_some() || self.relieved.is_some(), false)
     }
 }
 
@@ -690,12 +688,12 @@
             .collect();
         let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v));
         let old = self.books.iter().filter(|b| b.ready && b.entry.build < news.build).count();
+        // Strain from lost nodes needs no other cause.
+        let sound_nodes = self.books.iter().filter(|b| b.ready && !b.ill).count() as f64;
+        let apart = old > nodes && sound_nodes >= WHOLE * self.places;
         let trial = (news.build, news.stage);
-        let (held, shared) = if released {
-            (false, false)
-        } else {
-            self.strain.weigh(cx.now, trial, nodes, old > nodes, strain)
-        };
+        let (held, shared) =
+            if released { (false, false) } else { self.strain.weigh(cx.now, trial, nodes, apart, strain) };
         let found = worse(1.0).or(shared.then_some(asked.len()));
         // Alone, no other arm shares the day's troubles: lateness and slowness must last longer.
         let ponder = if self.alone() && found >= Some(asked.len() - 2) { STRAIN } else { PONDER };
--- a/src/state.rs
+++ b/src/state.rs
@@ -400,8 +400,6 @@
     pub relieved: Option<Duration>,
     pub cleared: Option<(Build, usize)>,
     pub stage: Option<(Build, usize)>,
-    /// Since when the older arm has been mildly strained.
-    pub mild: Option<Duration>,
     /// How brisk the older arm was before the test.
     pub level: f64,
 }
