--- a/src/policy.rs
+++ b/src/policy.rs
@@ -181,22 +181,15 @@
             Repeat::Idempotent => true,
             Repeat::NonIdempotent => false,
             Repeat::Tokened { group, window } => {
-                let near = |p: &Pick| match group {
-                    Group::All => true,
-                    Group::Zone => p.entry.zone == entry.zone,
-                    Group::Cell => p.entry.cell == entry.cell,
-                };
+                let near = |p: &Pick| same_group(group, &p.entry, entry);
                 ran.all(near) && cx.now + secs(0.25) < first + window
             }
         }
     }
 
     fn may_push_back(cx: &Cx, rpc: &Rpc) -> bool {
-        let harmless = match cx.law.duties[rpc.method].repeat {
-            Repeat::Idempotent => true,
-            Repeat::NonIdempotent => false,
-            Repeat::Tokened { group, .. } => group == Group::All,
-        };
+        let repeat = cx.law.duties[rpc.method].repeat;
+        let harmless = matches!(repeat, Repeat::Idempotent | Repeat::Tokened { group: Group::All, .. });
         harmless || rpc.picks.iter().all(|p| p.never_ran)
     }
 
@@ -350,8 +343,8 @@
         self.forget(rpc, cx);
     }
 
-    /// Another pick only where there is time for it; those that may have run spend from a small store, so that
-    /// failing nodes or an overload are not answered with a storm of repeats.
+    /// Another pick only where there is time for it; those that may have run spend from a small store, so
+    /// that failing nodes or an overload are not answered with a storm of repeats.
     fn again(&mut self, rpc: RpcIx, never_ran: bool, cx: &mut Cx) {
         let (r, spent) = (&self.rpcs[&rpc], if never_ran { 0.0 } else { 1.0 });
         let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent;
@@ -406,7 +399,7 @@
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.gate.book(cx, r.method, &entry);
         self.sent[arm] += 1.0;
-        // A first pick that may be repeated leaves room for another; once the fleet is slow, waiting is better.
+        // A first pick that may be repeated leaves room for another; in a slow fleet, waiting is better.
         let (left, duty) = (r.until.saturating_sub(cx.now), &cx.law.duties[r.method]);
         let early = (0.6 * duty.soft).max(4.0 * self.usual[r.method]);
         let repeatable = duty.repeat != Repeat::NonIdempotent && self.retries >= 1.0;
@@ -422,10 +415,11 @@
 
 // ---- judge: arms, verdicts, votes ------------------------------------------------------------------------
 
-/// Tells a build that slows old and new nodes alike, in step with its traffic, from a slow dependency, a burst
-/// or costly RPCs: while the older arm is slower than before the trial, the build gets nothing for a while. If
-/// the older arm mostly recovers and is slowed again with the build's return, the build is guilty; else it is
-/// cleared for this stage. Acts only on trial, while older nodes are the majority. Hurts by its delay.
+/// Tells a build that slows old and new nodes alike, in step with its traffic, from a slow dependency, a
+/// burst or costly RPCs: while the older arm is slower than before the trial, the build gets nothing for a
+/// while. If the older arm mostly recovers and is slowed again with the build's return, the build is guilty;
+/// else it is cleared for this stage. Acts only on trial, while older nodes are the majority and the fleet
+/// is whole. Hurts by its delay.
 impl Strain {
     fn book(&mut self, at: Duration, one: Tally) {
         // What was sent before the build's return, and is slow, ends after it: not counted.
@@ -455,22 +449,17 @@
         if self.cleared == Some(trial) {
             return (false, false);
         }
+        let eased = below(on, off, EASED, 0.3, var);
+        let again = strained && eased && 2.0 * on.mean() < self.level + off.mean();
         match (self.since, self.relieved) {
-            (None, Some(_))
-                if strained
-                    && below(on, off, EASED, 0.3, var)
-                    && 2.0 * on.mean() < self.level + off.mean() =>
-            {
-                return (true, true)
-            }
+            (None, Some(_)) if again => return (true, true),
             (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
             (None, None) if (strained || joined) && apart && nodes > 0 => {
                 (self.since, self.off) = (Some(now), Tally::default())
             }
             (Some(since), _) if now >= since + ABSTAIN[0] => {
                 // Recovery by more than half counts: other troubles ease by themselves, and by less.
-                let whole = off.mean() > 0.5 * (on.mean() + CALM);
-                let relief = whole && below(on, off, EASED, 0.3, var);
+                let relief = eased && off.mean() > 0.5 * (on.mean() + CALM);
                 self.relieved = relief.then_some(now);
                 (self.level, self.cleared) = (on.mean(), (!relief).then_some(trial));
                 (self.since, self.lately) = (None, Tally::default());
@@ -579,26 +568,23 @@
         self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
-    /// While nodes of both builds fail, what ill nodes on trial did is not held against their build, unless most
-    /// of them are ill. Guards against fleet trouble that strikes the few nodes on trial as well.
+    /// While nodes of both builds fail, what ill nodes on trial did is not held against their build, unless
+    /// most of them are ill. Guards against fleet trouble that strikes the few nodes on trial as well.
     fn excuse(&mut self) {
         let newest = self.newest;
         let ill = |b: &&mut Book| b.ready && b.ill && b.entry.build == newest;
         let others = self.books.iter().any(|b| b.ready && b.ill && b.entry.build != newest);
-        let nodes = self.books.iter().filter(|b| b.ready && b.entry.build == newest).count();
-        if others && 2 * self.books.iter_mut().filter(ill).count() <= nodes + 1 {
+        if others && 2 * self.books.iter_mut().filter(ill).count() <= self.ready(true) + 1 {
             self.books.iter_mut().filter(ill).for_each(|b| b.methods.fill(Ledger::default()));
         }
     }
 
     /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble that
     /// strikes a few nodes, whatever their build, convicts no build. Guards against quick errors, crashes and
-    /// wrong answers of single machines; it delays the verdict on a build whose failures are rare. Too few nodes
-    /// on trial to leave any out are held against the older arm's worst quarter instead.
+    /// wrong answers of single machines; it delays the verdict on a build whose failures are rare. Too few
+    /// nodes on trial to leave any out are held against the older arm's worst quarter instead.
     fn arm(&self, new: bool, mut sums: Vec<Ledger>, few: bool) -> (Vec<Ledger>, usize) {
-        let faults = |b: &Book| {
-            b.methods.iter().map(|l| l.sound.n - l.sound.good + l.paid.n - l.paid.good).sum::<f64>()
-        };
+        let faults = |b: &Book| b.methods.iter().map(Ledger::faults).sum::<f64>();
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
         let mut books: Vec<&Book> = self.books.iter().filter(mine).collect();
         books.sort_by(|a, b| faults(b).total_cmp(&faults(a)).then(a.entry.node.cmp(&b.entry.node)));
@@ -608,13 +594,15 @@
         (sums, books.len())
     }
 
-    /// Released, or nearly all of the fleet: then the build is watched against what the earlier one did before
-    /// the trial, for the older arm's last record shares whatever the build did to all.
+    fn ready(&self, new: bool) -> usize {
+        self.books.iter().filter(|b| b.ready && (b.entry.build == self.newest) == new).count()
+    }
+
+    /// Released, or nearly all of the fleet: then the build is watched against what the earlier one did
+    /// before the trial, for the older arm's last record shares whatever the build did to all.
     fn alone(&self) -> bool {
         let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
-        let (new, old): (Vec<&Book>, Vec<&Book>) =
-            self.books.iter().filter(|b| b.ready).partition(|b| b.entry.build == self.newest);
-        released || 4 * old.len() < new.len()
+        released || 4 * self.ready(false) < self.ready(true)
     }
 
     /// The questions asked of both arms: payoff, soundness by method, pace; and how many nodes are on trial.
@@ -643,7 +631,7 @@
             self.halved = cx.now;
             self.books.iter_mut().flat_map(|b| &mut b.methods).for_each(Ledger::halve);
             // The record of an arm without nodes is kept.
-            if self.books.iter().any(|b| b.ready && b.entry.build < self.newest) {
+            if self.ready(false) > 0 {
                 self.past.iter_mut().for_each(Ledger::halve);
             }
             self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
@@ -654,10 +642,8 @@
         cx.put(FRONT, Note::Favour { newest: self.newest, new_first, starved });
         if cx.law.peers && cx.now >= self.told + 5 * LOOK && pairs.iter().any(|p| p[0].n >= 1.0) {
             self.told = cx.now;
-            cx.out.push(Action::Tell {
-                to: None,
-                text: write_pairs(self.newest, self.strain.since.is_some(), &pairs),
-            });
+            let text = write_pairs(self.newest, starved, &pairs);
+            cx.out.push(Action::Tell { to: None, text });
         }
         // Votes rest on own evidence, widened by fresh peers' and by the platform's sums.
         for (at, build, theirs) in self.heard.values() {
@@ -665,7 +651,7 @@
                 pairs.iter_mut().zip(theirs).for_each(|(a, b)| join(a, b));
             }
         }
-        // The platform counts full and cold nodes as failures too: its sums speak of payoff, not of soundness.
+        // The platform counts full and cold nodes as failures: its sums speak of payoff, not soundness.
         join(&mut pairs[0], &self.sums);
         self.vote(pairs, nodes, cx);
     }
@@ -687,13 +673,12 @@
             .chain([(payoff, MARGIN[0], 0.25), (pace, slower, var(&pace))])
             .collect();
         let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v));
-        let old = self.books.iter().filter(|b| b.ready && b.entry.build < news.build).count();
         // Strain from lost nodes needs no other cause.
         let sound_nodes = self.books.iter().filter(|b| b.ready && !b.ill).count() as f64;
-        let apart = old > nodes && sound_nodes >= WHOLE * self.places;
+        let apart = self.ready(false) > nodes && sound_nodes >= WHOLE * self.places;
         let trial = (news.build, news.stage);
-        let (held, shared) =
-            if released { (false, false) } else { self.strain.weigh(cx.now, trial, nodes, apart, strain) };
+        let test = (!released).then(|| self.strain.weigh(cx.now, trial, nodes, apart, strain));
+        let (held, shared) = test.unwrap_or_default();
         let found = worse(1.0).or(shared.then_some(asked.len()));
         // Alone, no other arm shares the day's troubles: lateness and slowness must last longer.
         let ponder = if self.alone() && found >= Some(asked.len() - 2) { STRAIN } else { PONDER };
@@ -737,9 +722,9 @@
         }
         let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
         let due = (cx.law.shares.get(news.stage)? * self.places).round().max(1.0);
-        let all = trial.clone().count() as f64 >= due;
+        let all = self.ready(true) as f64 >= due;
         let last =
-            trial.filter_map(|b| b.entry.started).max().filter(|_| all).map(|at| at.max(news.launched));
+            trial.filter_map(|b| b.entry.started.filter(|_| all)).max().map(|at| at.max(news.launched));
         let at = last.or((cx.now >= news.launched + STAGE_LATEST).then_some(cx.now))?;
         self.begun = Some((news.build, news.stage, at));
         Some(at)
--- a/src/state.rs
+++ b/src/state.rs
@@ -263,6 +263,9 @@
         self.sound.add(other.sound, part);
         self.times.iter_mut().zip(other.times).for_each(|(a, b)| *a += part * b);
     }
+    pub fn faults(&self) -> f64 {
+        self.sound.n - self.sound.good + self.paid.n - self.paid.good
+    }
     /// The bin within which the given part of the answers came.
     pub fn edge(&self, part: f64, least: f64) -> Option<usize> {
         let (all, mut sum) = (self.times.iter().sum::<f64>(), 0.0);
@@ -414,3 +417,11 @@
 pub fn secs(s: f64) -> Duration {
     Duration::from_secs_f64(s.max(0.0))
 }
+
+pub fn same_group(group: Group, a: &NodeEntry, b: &NodeEntry) -> bool {
+    match group {
+        Group::All => true,
+        Group::Zone => a.zone == b.zone,
+        Group::Cell => a.cell == b.cell,
+    }
+}
