--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,10 +27,9 @@
 const HALVE: Duration = Duration::from_secs(5);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.2, 0.25];
-/// How long a released build must look late or slow before it is voted back for that.
-const STRAIN: Duration = Duration::from_secs(8);
-/// Evidence must stand against a build this long, for trouble in the fleet to show itself first.
-const PONDER: Duration = Duration::from_millis(800);
+/// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound; late
+/// or slow on trial; late or slow when alone, with no older arm beside it.
+const PONDER: [Duration; 3] = [Duration::from_millis(800), Duration::from_secs(3), Duration::from_secs(8)];
 /// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under strain.
 const CALM: f64 = 0.75;
 const STRAINED: f64 = 0.03;
@@ -680,8 +679,9 @@
         let test = (!released).then(|| self.strain.weigh(cx.now, trial, nodes, apart, strain));
         let (held, shared) = test.unwrap_or_default();
         let found = worse(1.0).or(shared.then_some(asked.len()));
-        // Alone, no other arm shares the day's troubles: lateness and slowness must last longer.
-        let ponder = if self.alone() && found >= Some(asked.len() - 2) { STRAIN } else { PONDER };
+        // Lateness and slowness pass with a backlog; alone, no other arm shares the day's troubles.
+        let late = usize::from(found >= Some(asked.len() - 2));
+        let ponder = PONDER[if self.alone() { 2 * late } else { late }];
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
         let guilty = self.guilty.is_some_and(|since| cx.now >= since + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
