--- a/src/policy.rs
+++ b/src/policy.rs
@@ -360,7 +360,12 @@
     fn choices(&self, r: &Rpc, cx: &Cx) -> Option<(usize, Vec<Card>)> {
         let ready = || self.cards.iter().filter(|c| c.ready);
         let all = ready().count().max(1);
-        let share = ready().filter(|c| c.entry.build == self.newest).count() as f64 / all as f64;
+        let new = ready().filter(|c| c.entry.build == self.newest).count();
+        // Rehearsal, where the earlier machines stay until the release: in the last stage each new node gets
+        // the load that it will have then, so that what fails only when busy fails before.
+        let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
+        let places = if rehearsal { new.max(all - new).max(1) } else { all };
+        let share = new as f64 / places as f64;
         let most_rest = 5 * ready().filter(|c| c.resting).count() >= 4 * all;
         let limit = |part: f64| SHARE_LIMIT * part * (self.sent[0] + self.sent[1] + 1.0);
         let within = [self.sent[0] <= limit(1.0 - share), self.sent[1] <= limit(share) && !self.starved];
@@ -672,12 +677,11 @@
             .chain([(payoff, MARGIN[0], 0.25), (pace, slower, var(&pace))])
             .collect();
         let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v));
-        // Strain from lost nodes needs no other cause.
         let sound_nodes = self.books.iter().filter(|b| b.ready && !b.ill).count() as f64;
         let apart = self.ready(false) > nodes && sound_nodes >= WHOLE * self.places;
-        let trial = (news.build, news.stage);
-        let test = (!released).then(|| self.strain.weigh(cx.now, trial, nodes, apart, strain));
-        let (held, shared) = test.unwrap_or_default();
+        let trial = Some((news.build, news.stage)).filter(|_| !released);
+        let (held, shared) =
+            trial.map_or((false, false), |t| self.strain.weigh(cx.now, t, nodes, apart, strain));
         let found = worse(1.0).or(shared.then_some(asked.len()));
         // Lateness and slowness pass with a backlog; alone, no other arm shares the day's troubles.
         let late = usize::from(found >= Some(asked.len() - 2));
@@ -697,14 +701,15 @@
         };
         let (stage, build, gap) = (news.stage, news.build, secs((2.0 * cx.law.vote_gap).max(0.3)));
         let wish = (verdict, stage, build);
-        let on = self.cast.is_some_and(|(cast, ..)| cast == (Verdict::On, stage, build));
         let pause = match self.cast {
             Some((cast, _, true)) if cast == wish => cx.law.vote_life.mul_f64(0.6),
             Some((cast, _, false)) if cast == wish => cx.law.vote_wait.max(gap),
             _ => gap,
         };
         let soon = self.cast.is_some_and(|(_, at, _)| cx.now < at + pause);
-        if soon || (verdict == Verdict::None && !on) {
+        if soon
+            || (verdict == Verdict::None && self.cast.is_none_or(|(c, ..)| c != (Verdict::On, stage, build)))
+        {
             return;
         }
         if self.cast.is_none_or(|(cast, ..)| cast != wish) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,8 @@
     /// Seconds a vote that all marshals together may send.
     pub vote_gap: f64,
     pub peers: bool,
+    /// The last stage, where the earlier machines stay until the release.
+    pub rehearse: Option<usize>,
     pub kinds: usize,
     pub ask_pause: Option<f64>,
     pub seed: u64,
@@ -105,6 +107,7 @@
             vote_wait: release.vote_wait,
             vote_gap: marshals / release.vote_rate,
             peers: limits.peers,
+            rehearse: release.shares.len().checked_sub(1).filter(|_| !release.in_place),
             kinds: terms.kinds.max(1),
             ask_pause: terms.ask_discovery.then(|| 1.0 + terms.marshal as f64 / marshals),
             seed: terms.seed,
--- a/tests/marshal/cases.rs
+++ b/tests/marshal/cases.rs
@@ -222,3 +222,13 @@
         assert!(picks <= most, "{picks} picks in a second, {most} at the most");
     }
 }
+
+#[test]
+fn the_last_stage_beside_earlier_machines_is_a_rehearsal() {
+    let mut w = on_trial(8);
+    w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
+    w.run(ms(8000), 100);
+    let late: Vec<_> = w.sends.iter().filter(|s| s.0 > w.now - ms(2000)).collect();
+    let new = late.iter().filter(|s| s.1.build == 2).count() as f64 / late.len() as f64;
+    assert!(new > 0.9, "the new nodes got {new} of the picks");
+}
