--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,8 +27,8 @@
 const HALVE: Duration = Duration::from_secs(5);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.2, 0.25];
-/// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound; late
-/// or slow on trial; late or slow when alone, with no older arm beside it.
+/// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
+/// late or slow on trial; late or slow when alone, with no older arm beside it.
 const PONDER: [Duration; 3] = [Duration::from_millis(800), Duration::from_secs(3), Duration::from_secs(8)];
 /// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under strain.
 const CALM: f64 = 0.75;
@@ -226,12 +226,6 @@
         self.sent.entry((entry.build, slot)).or_default().push_back(cx.now);
         self.cold_sent.entry(entry.node).or_default().push_back(cx.now);
     }
-
-    fn sweep(&mut self, cx: &Cx) {
-        let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * BEAT;
-        let all = self.taken.values_mut().chain(self.sent.values_mut()).chain(self.cold_sent.values_mut());
-        all.for_each(|times| times.retain(|&at| at + keep >= cx.now));
-    }
 }
 
 // ---- front: RPCs, picks, waits ---------------------------------------------------------------------------
@@ -291,7 +285,8 @@
                 let step = BEAT.as_secs_f64();
                 self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
                 self.oks = 0.0;
-                self.gate.sweep(cx);
+                let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * BEAT;
+                self.gate.forget(cx.now.saturating_sub(keep));
                 if self.sent[0] + self.sent[1] > 200.0 {
                     self.sent = self.sent.map(|n| n / 2.0);
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -345,6 +345,14 @@
     pub crossed: BTreeMap<u64, Build>,
 }
 
+impl Gate {
+    /// Times before this are no longer asked for.
+    pub fn forget(&mut self, before: Duration) {
+        let all = self.taken.values_mut().chain(self.sent.values_mut()).chain(self.cold_sent.values_mut());
+        all.for_each(|times| times.retain(|&at| at >= before));
+    }
+}
+
 #[derive(Default)]
 pub struct Front {
     pub gate: Gate,
