--- a/src/policy.rs
+++ b/src/policy.rs
@@ -29,7 +29,7 @@
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.2, 0.25];
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
 /// late or slow on trial; late or slow when alone, with no older arm beside it.
-const PONDER: [Duration; 3] = [Duration::from_millis(800), Duration::from_secs(3), Duration::from_secs(12)];
+const PONDER: [Duration; 3] = [Duration::from_millis(800), Duration::from_secs(3), Duration::from_secs(8)];
 /// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under strain.
 const CALM: f64 = 0.75;
 const STRAINED: f64 = 0.03;
