--- a/src/policy.rs
+++ b/src/policy.rs
@@ -26,7 +26,7 @@
 /// Records are halved this often, so that trouble which starts late shows.
 const HALVE: Duration = Duration::from_secs(5);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
-const MARGIN: [f64; 4] = [0.05, 0.01, 0.2, 0.25];
+const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
 /// late or slow on trial; late or slow when alone, with no older arm beside it.
 const PONDER: [Duration; 3] = [Duration::from_millis(800), Duration::from_secs(3), Duration::from_secs(8)];
