--- a/src/policy.rs
+++ b/src/policy.rs
@@ -432,7 +432,8 @@
 
     /// Whether the older arm is strained, and whether the build is found guilty of it.
     fn weigh(
-        &mut self, now: Duration, trial: (Build, usize), nodes: usize, apart: bool, [off, on]: Pair,
+        &mut self, now: Duration, trial: (Build, usize), nodes: usize, [apart, lost]: [bool; 2],
+        [off, on]: Pair,
     ) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
@@ -449,7 +450,7 @@
             return (false, false);
         }
         let eased = below(on, off, EASED, 0.3, var);
-        let again = strained && eased && 2.0 * on.mean() < self.level + off.mean();
+        let again = !lost && strained && eased && 2.0 * on.mean() < self.level + off.mean();
         match (self.since, self.relieved) {
             (None, Some(_)) if again => return (true, true),
             (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
@@ -674,9 +675,10 @@
         let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v));
         let sound_nodes = self.books.iter().filter(|b| b.ready && !b.ill).count() as f64;
         let apart = self.ready(false) > nodes && sound_nodes >= WHOLE * self.places;
+        let lost = ((self.ready(false) + nodes) as f64) < WHOLE * self.places;
         let trial = Some((news.build, news.stage)).filter(|_| !released);
         let (held, shared) =
-            trial.map_or((false, false), |t| self.strain.weigh(cx.now, t, nodes, apart, strain));
+            trial.map_or((false, false), |t| self.strain.weigh(cx.now, t, nodes, [apart, lost], strain));
         let found = worse(1.0).or(shared.then_some(asked.len()));
         // Lateness and slowness pass with a backlog; alone, no other arm shares the day's troubles.
         let late = usize::from(found >= Some(asked.len() - 2));
--- a/tests/marshal/cases.rs
+++ b/tests/marshal/cases.rs
@@ -232,3 +232,18 @@
     let new = late.iter().filter(|s| s.1.build == 2).count() as f64 / late.len() as f64;
     assert!(new > 0.9, "the new nodes got {new} of the picks");
 }
+
+#[test]
+fn nodes_lost_after_the_test_by_abstention_are_not_held_against_the_build() {
+    let mut w = on_trial(2);
+    w.run(ms(5500), 60);
+    // Slow until the build has been starved for a while, as if by chance; then nodes are lost and all is slow.
+    let (eased, lost) = (w.now + ms(2500), w.now + ms(5500));
+    w.behave = Box::new(move |_, _, now, die| {
+        (Outcome::Ok, ms(if now < eased || now >= lost { 280 } else { 50 } + die % 30))
+    });
+    w.run(ms(5500), 60);
+    (0..4).for_each(|n| w.list(n, 1, Readiness::Gone, None));
+    w.run(ms(9000), 60);
+    assert!(!w.voted(Verdict::Back), "{:?}", w.votes);
+}
