--- a/src/policy.rs
+++ b/src/policy.rs
@@ -741,13 +741,14 @@
         match note {
             Note::Told(Event::Nodes { scope: Scope::Failed, .. }) => {
                 (self.subscribed, self.failures) = (false, (self.failures + 1).min(3));
-                self.ask_at = cx.now + secs(0.4 * pause * 2f64.powi(self.failures));
+                self.ask_at =
+                    cx.now + secs(0.4 * pause * 2f64.powi(self.failures)).min(cx.law.ask_within / 2);
             }
             Note::Told(Event::Nodes { scope: Scope::Full | Scope::Delta, .. }) => {
                 (self.subscribed, self.failures) = (true, 0);
             }
             Note::Beat if !self.subscribed && cx.now >= self.ask_at => {
-                self.ask_at = cx.now + secs(4.0 * pause);
+                self.ask_at = cx.now + secs(4.0 * pause).min(cx.law.ask_within / 2);
                 cx.out.push(Action::Subscribe(true));
             }
             _ => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -57,6 +57,8 @@
     pub rehearse: Option<usize>,
     pub kinds: usize,
     pub ask_pause: Option<f64>,
+    /// The longest silence towards discovery without a subscription.
+    pub ask_within: Duration,
     pub seed: u64,
 }
 
@@ -110,6 +112,7 @@
             rehearse: release.shares.len().checked_sub(1).filter(|_| !release.in_place),
             kinds: terms.kinds.max(1),
             ask_pause: terms.ask_discovery.then(|| 1.0 + terms.marshal as f64 / marshals),
+            ask_within: if rules.ask_within.is_zero() { Duration::MAX } else { rules.ask_within },
             seed: terms.seed,
         }
     }
