Idle nodes cost nothing; picks draw candidates; cold budgets are rounded by lot

Cause: every beat reached every node, each send walked the fleet; each marshal could send one RPC a window to a cold node whatever the budget. The lot also holds against synchronized restarts; it may slow the warming of a node.

--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -1,6 +1,6 @@
 //! One host for many instances: batches in, replies out.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::mem;
 use std::time::Duration;
 
@@ -69,7 +69,7 @@
             return malformed(format!("the header states {len} bytes, the frame has {}", frame.len()));
         }
         let mut on = None;
-        let mut told: Vec<u32> = Vec::new();
+        let mut told: BTreeSet<u32> = BTreeSet::new();
         for i in 0..records {
             let (code, fields) = r.record()?;
             let mut f = Reader::new(fields, event_name(code));
@@ -84,9 +84,7 @@
                         return malformed(format!("record {i} ({}) precedes any On", event_name(code)));
                     };
                     self.event(id, code, &mut f)?;
-                    if !told.contains(&id) {
-                        told.push(id);
-                    }
+                    told.insert(id);
                 }
             }
         }
@@ -94,7 +92,6 @@
             return malformed(format!("bytes follow the {records} records that the header states"));
         }
         let mut reply = Writer::default();
-        told.sort_unstable();
         for id in told {
             if let Some(instance) = self.instances.get_mut(&id) {
                 instance.answer(id, Duration::from_micros(now), &mut reply)?;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -43,7 +43,7 @@
 /// Peers' counts older than this say nothing.
 const FRESH: Duration = Duration::from_secs(3);
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
-const COLD_PART: f64 = 1.2;
+const COLD_PART: f64 = 1.0;
 /// The served rate is averaged over this many seconds.
 const SERVED_OVER: f64 = 3.0;
 /// Repeats of picks that may have run: earned per RPC taken, and the most in store.
@@ -80,6 +80,7 @@
 
 impl Node {
     fn act(&mut self, note: Note, cx: &mut Cx) {
+        let shown = self.card;
         match note {
             Note::Listed(entry) => {
                 if (entry.started, entry.build) != (self.card.entry.started, self.card.entry.build) {
@@ -109,8 +110,16 @@
         self.card.resting = silent || cx.now < self.rest_until;
         self.card.gentle = self.rests > 0;
         self.card.pace = self.took * (1.0 + 4.0 * self.ill);
-        cx.boxes[FRONT].push_front(Note::Card(self.card));
-        cx.put(JUDGE, Note::Card(self.card));
+        if self.card != shown {
+            cx.show(self.card);
+        }
+        // Idle nodes cost nothing, however large the fleet.
+        let node = self.card.entry.node;
+        let _ = if self.out.is_empty() && !self.card.resting {
+            cx.awake.remove(&node)
+        } else {
+            cx.awake.insert(node)
+        };
     }
 
     /// Health from own outcomes alone: failures rest the node for growing spans, then it is tried gently.
@@ -209,14 +218,21 @@
     }
 
     /// Peers are taken to send as this marshal does, in proportion to what each has had answered; that sum is
-    /// below what the fleet can do, whatever the fleet's speed is. One RPC a window goes always.
+    /// below what the fleet can do, whatever the fleet's speed is. A budget between whole RPCs is rounded by
+    /// lot, anew each window, whose start differs by marshal: hundreds of marshals with a small part of an RPC
+    /// each add up to the budget, not to one RPC each.
     fn warm_enough(&self, cx: &Cx, entry: &NodeEntry) -> bool {
         let (age, law) = (cx.age(entry), &cx.law);
+        if age >= law.warming + law.fall_window {
+            return true;
+        }
         let grown = age.saturating_sub(law.fall_window).as_secs_f64() / law.warming.as_secs_f64().max(0.001);
         let present = law.cold_from + (1.0 - law.cold_from) * grown.min(1.0);
         let budget = COLD_PART * law.fall_budget * present * self.served * power(entry);
+        let window = (age.as_secs_f64() / law.fall_window.as_secs_f64().max(0.001) + law.phase) as u64;
+        let lot = chance(law.seed, 1 << 63 | (entry.node as u64) << 32 | window) as f64 / u64::MAX as f64;
         let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window);
-        age >= law.warming + law.fall_window || used + 1.0 <= budget.max(1.0)
+        used + 1.0 <= (budget + lot).floor()
     }
 
     /// Books a send that `admits` has let through.
@@ -236,9 +252,11 @@
             Note::Card(card) => {
                 let ix = card.entry.node;
                 self.cards.resize(self.cards.len().max(ix + 1), Card::default());
-                self.cards[ix] = card;
+                let old = std::mem::replace(&mut self.cards[ix], card);
+                self.stale |= (old.ready, old.resting, old.entry) != (card.ready, card.resting, card.entry);
             }
             Note::Favour { newest, new_first, starved } => {
+                self.stale |= self.newest != newest;
                 (self.newest, self.new_first, self.starved) = (newest, new_first, starved);
             }
             Note::Told(Event::Rpc { rpc, method, key, left, .. }) => {
@@ -279,20 +297,20 @@
                     self.gate.news = Some(news);
                 }
             }
-            Note::Beat => {
+            Note::Beat if cx.now >= self.counted + LOOK => {
                 let warm = self.cards.iter().filter(|c| c.ready && cx.age(&c.entry) > YOUNG);
                 let power = warm.map(|c| power(&c.entry)).sum::<f64>().max(1.0);
-                let step = BEAT.as_secs_f64();
+                let step = (cx.now - self.counted).as_secs_f64().min(SERVED_OVER);
                 self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
-                self.oks = 0.0;
-                let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * BEAT;
+                (self.oks, self.counted) = (0.0, cx.now);
+                let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * LOOK;
                 self.gate.forget(cx.now.saturating_sub(keep));
                 if self.sent[0] + self.sent[1] > 200.0 {
                     self.sent = self.sent.map(|n| n / 2.0);
                 }
                 cx.put(FRONT, Note::Pump);
             }
-            Note::Pump => self.pump(cx),
+            Note::Beat | Note::Pump => self.pump(cx),
             _ => {}
         }
     }
@@ -350,36 +368,54 @@
         }
     }
 
-    /// Nodes for an RPC: of the arm of larger index within its limits, then of the other; wary of nodes that
+    /// The ready nodes of each arm, and how many rest.
+    fn muster(&mut self) {
+        let ready = |c: &&Card| c.ready;
+        for (arm, list) in self.arms.iter_mut().enumerate() {
+            let mine =
+                self.cards.iter().filter(ready).filter(|c| (c.entry.build == self.newest) == (arm == 1));
+            *list = mine.map(|c| c.entry.node).collect();
+        }
+        self.resting = self.cards.iter().filter(ready).filter(|c| c.resting).count();
+        self.stale = false;
+    }
+
+    /// A node for an RPC: of the arm of larger index within its limits, then of the other; wary of nodes that
     /// failed it, rest or are being tried again, unless there is no other way.
-    fn choices(&self, r: &Rpc, cx: &Cx) -> Option<(usize, Vec<Card>)> {
-        let ready = || self.cards.iter().filter(|c| c.ready);
-        let all = ready().count().max(1);
-        let new = ready().filter(|c| c.entry.build == self.newest).count();
+    fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, NodeEntry)> {
+        let (all, new) = (self.arms[0].len() + self.arms[1].len(), self.arms[1].len());
         // Rehearsal, where the earlier machines stay until the release: in the last stage each new node gets
         // the load that it will have then, so that what fails only when busy fails before.
         let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
-        let places = if rehearsal { new.max(all - new).max(1) } else { all };
-        let share = new as f64 / places as f64;
-        let most_rest = 5 * ready().filter(|c| c.resting).count() >= 4 * all;
+        let places = if rehearsal { new.max(all - new) } else { all };
+        let share = new as f64 / places.max(1) as f64;
+        let most_rest = 5 * self.resting >= 4 * all;
         let limit = |part: f64| SHARE_LIMIT * part * (self.sent[0] + self.sent[1] + 1.0);
         let within = [self.sent[0] <= limit(1.0 - share), self.sent[1] <= limit(share) && !self.starved];
         // A pick that failed on the newest build is repeated on an older one first.
         let first = usize::from(self.new_first && !r.burnt && !self.starved);
+        let orders = [(first, true), (1 - first, true), (first, false), (1 - first, false)];
         for wary in [true, false] {
-            for (arm, limited) in [(first, true), (1 - first, true), (first, false), (1 - first, false)] {
+            for (arm, _) in orders.into_iter().filter(|&(arm, limited)| within[arm] == limited) {
                 let fits = |c: &&Card| {
                     let unsure = c.in_flight > 0 || cx.law.duties[r.method].repeat == Repeat::NonIdempotent;
                     let failed = || r.picks.iter().any(|p| p.entry.node == c.entry.node);
                     let doubt = c.resting || (c.gentle && unsure) || failed();
-                    (c.entry.build == self.newest) == (arm == 1)
-                        && (c.in_flight as f64) < c.limit.floor()
+                    (c.in_flight as f64) < c.limit.floor()
                         && if wary { !doubt } else { !c.resting || most_rest }
                         && self.gate.admits(cx, r, c)
                 };
-                let fit: Vec<Card> = self.cards.iter().filter(fits).copied().collect();
-                if (within[arm] || !limited) && !fit.is_empty() {
-                    return Some((arm, fit));
+                // Two random choices; where few fit, the walk from a random place finds one that does.
+                let list = &self.arms[arm];
+                let draw = |nth: u64| {
+                    let die = |i: u64| chance(cx.law.seed, self.draws + i) as usize % list.len().max(1);
+                    let walk = (0..list.len()).map(|i| (die(nth) + i) % list.len());
+                    let tries = (nth..nth + 4).map(die).filter(|_| !list.is_empty()).chain(walk);
+                    tries.map(|i| &self.cards[list[i]]).find(fits)
+                };
+                let cost = |c: &Card| (c.in_flight + 1) as f64 * c.pace;
+                if let Some((a, b)) = draw(0).and_then(|a| Some((a, draw(4)?))) {
+                    return Some((arm, if cost(b) < cost(a) { b.entry } else { a.entry }));
                 }
             }
         }
@@ -388,13 +424,12 @@
 
     /// Picks arm and node for an RPC and sends it, if the gate lets it through anywhere.
     fn send(&mut self, rpc: RpcIx, cx: &mut Cx) -> bool {
-        let Some((arm, fit)) = self.rpcs.get(&rpc).and_then(|r| self.choices(r, cx)) else { return false };
+        if self.stale {
+            self.muster();
+        }
+        let Some((arm, entry)) = self.rpcs.get(&rpc).and_then(|r| self.choose(r, cx)) else { return false };
         self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
-        self.draws += 1;
-        let draw = chance(cx.law.seed, self.draws);
-        let (a, b) = (&fit[draw as usize % fit.len()], &fit[(draw >> 32) as usize % fit.len()]);
-        let cost = |c: &Card| (c.in_flight + 1) as f64 * c.pace;
-        let entry = if cost(b) < cost(a) { b.entry } else { a.entry };
+        self.draws += 8;
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.gate.book(cx, r.method, &entry);
         self.sent[arm] += 1.0;
@@ -531,8 +566,10 @@
     }
 
     fn listed(&mut self, card: &Card, cx: &Cx) {
-        let blank = Book { methods: vec![Ledger::default(); cx.law.duties.len()], ..Book::default() };
-        self.books.resize(self.books.len().max(card.entry.node + 1), blank.clone());
+        if self.books.len() <= card.entry.node {
+            let blank = Book { methods: vec![Ledger::default(); cx.law.duties.len()], ..Book::default() };
+            self.books.resize(card.entry.node + 1, blank);
+        }
         let book = &mut self.books[card.entry.node];
         let fresh = (book.entry.build, book.entry.started) != (card.entry.build, card.entry.started);
         if fresh || !card.ready {
@@ -540,7 +577,7 @@
             if book.entry.build < self.newest {
                 book.add_to(&mut self.past);
             }
-            book.methods = blank.methods;
+            book.methods.fill(Ledger::default());
         }
         (book.entry, book.ready, book.ill) = (card.entry, card.ready, card.gentle || card.resting);
         book.entry.kind = card.entry.kind.min(cx.law.kinds - 1);
@@ -584,13 +621,13 @@
     /// wrong answers of single machines; it delays the verdict on a build whose failures are rare. Too few
     /// nodes on trial to leave any out are held against the older arm's worst quarter instead.
     fn arm(&self, new: bool, mut sums: Vec<Ledger>, few: bool) -> (Vec<Ledger>, usize) {
-        let faults = |b: &Book| b.methods.iter().map(Ledger::faults).sum::<f64>();
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
-        let mut books: Vec<&Book> = self.books.iter().filter(mine).collect();
-        books.sort_by(|a, b| faults(b).total_cmp(&faults(a)).then(a.entry.node.cmp(&b.entry.node)));
+        let faults = |b| (Book::faults(b), b);
+        let mut books: Vec<(f64, &Book)> = self.books.iter().filter(mine).map(faults).collect();
         let quarter = books.len() / 4;
+        books.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.entry.node.cmp(&b.1.entry.node)));
         let kept = if few { &books[..quarter.max(1).min(books.len())] } else { &books[quarter..] };
-        kept.iter().for_each(|b| b.add_to(&mut sums));
+        kept.iter().filter(|b| b.1.used()).for_each(|b| b.1.add_to(&mut sums));
         (sums, books.len())
     }
 
@@ -785,10 +822,17 @@
             self.settle();
         }
         if now >= self.beat_at {
+            let awake = self.cx.awake.iter().map(|node| NODES + node).chain([FRONT, JUDGE, SCOUT]);
+            awake.collect::<Vec<_>>().into_iter().for_each(|to| self.cx.put(to, Note::Beat));
+            self.settle();
+            self.beat_at = now + LOOK;
+            self.cx.out.push(Action::Wake { after: LOOK, tag: 0 });
+        }
+        // Waits and silences want a finer beat.
+        let idle = self.front.rpcs.is_empty() && self.cx.awake.is_empty();
+        if !idle && self.beat_at > now + BEAT {
             self.beat_at = now + BEAT;
             self.cx.out.push(Action::Wake { after: BEAT, tag: 0 });
-            (0..self.cx.boxes.len()).for_each(|to| self.cx.put(to, Note::Beat));
-            self.settle();
         }
         std::mem::take(&mut self.cx.out)
     }
--- a/src/port.rs
+++ b/src/port.rs
@@ -136,7 +136,7 @@
     Gone,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NodeEntry {
     pub node: NodeIx,
     pub kind: usize,
--- a/src/state.rs
+++ b/src/state.rs
@@ -60,6 +60,8 @@
     /// The longest silence towards discovery without a subscription.
     pub ask_within: Duration,
     pub seed: u64,
+    /// This marshal's place among all, from 0 to 1.
+    pub phase: f64,
 }
 
 /// What is owed to a method's RPCs.
@@ -114,6 +116,7 @@
             ask_pause: terms.ask_discovery.then(|| 1.0 + terms.marshal as f64 / marshals),
             ask_within: if rules.ask_within.is_zero() { Duration::MAX } else { rules.ask_within },
             seed: terms.seed,
+            phase: terms.marshal as f64 / marshals,
         }
     }
 }
@@ -141,21 +144,44 @@
     /// Each node as last listed.
     pub listed: BTreeMap<NodeIx, NodeEntry>,
     pub boxes: Vec<VecDeque<Note>>,
+    /// The inboxes that are not empty.
+    pub full: BTreeSet<usize>,
+    /// Nodes with picks out, or resting; the others get no beats.
+    pub awake: BTreeSet<NodeIx>,
     pub out: Vec<Action>,
 }
 
 impl Cx {
     pub fn new(law: Charter) -> Self {
         let boxes = (0..NODES).map(|_| VecDeque::new()).collect();
-        Cx { now: Duration::ZERO, law, listed: BTreeMap::new(), boxes, out: Vec::new() }
+        Cx {
+            now: Duration::ZERO,
+            law,
+            listed: BTreeMap::new(),
+            boxes,
+            full: BTreeSet::new(),
+            awake: BTreeSet::new(),
+            out: Vec::new(),
+        }
     }
     /// The next note: nodes first, the front last.
     pub fn next(&mut self) -> Option<(usize, Note)> {
-        let to = self.boxes.iter().rposition(|inbox| !inbox.is_empty())?;
-        Some((to, self.boxes[to].pop_front()?))
+        let to = *self.full.last()?;
+        let note = self.boxes[to].pop_front();
+        if self.boxes[to].is_empty() {
+            self.full.remove(&to);
+        }
+        Some((to, note?))
     }
     pub fn put(&mut self, to: usize, note: Note) {
         self.boxes[to].push_back(note);
+        self.full.insert(to);
+    }
+    /// What a node shows of itself goes to the front ahead of all else.
+    pub fn show(&mut self, card: Card) {
+        self.boxes[FRONT].push_front(Note::Card(card));
+        self.full.insert(FRONT);
+        self.put(JUDGE, Note::Card(card));
     }
     /// Puts an event into the inboxes that it concerns.
     pub fn sort(&mut self, event: Event) {
@@ -163,7 +189,8 @@
             Event::Nodes { scope, nodes } => {
                 // What a whole list leaves out is gone.
                 let whole = matches!(scope, Scope::Full | Scope::Cached);
-                let left = |e: &&NodeEntry| whole && nodes.iter().all(|n| n.node != e.node);
+                let named: BTreeSet<NodeIx> = nodes.iter().map(|n| n.node).collect();
+                let left = |e: &&NodeEntry| whole && !named.contains(&e.node);
                 let listed = self.listed.values().filter(left);
                 let gone = listed.map(|e| NodeEntry { readiness: Readiness::Gone, ..*e });
                 for entry in gone.chain(nodes.iter().copied()).collect::<Vec<_>>() {
@@ -193,7 +220,7 @@
 }
 
 /// What a node shows of itself.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy, Default, PartialEq)]
 pub struct Card {
     pub entry: NodeEntry,
     pub ready: bool,
@@ -300,6 +327,12 @@
 }
 
 impl Book {
+    pub fn faults(&self) -> f64 {
+        self.methods.iter().map(Ledger::faults).sum()
+    }
+    pub fn used(&self) -> bool {
+        self.methods.iter().any(|l| l.sound.n + l.paid.n > 0.0)
+    }
     pub fn add_to(&self, sums: &mut [Ledger]) {
         let first = self.entry.kind * self.methods.len();
         self.methods.iter().zip(&mut sums[first..]).for_each(|(ledger, sum)| sum.add(ledger, 1.0));
@@ -360,6 +393,10 @@
 pub struct Front {
     pub gate: Gate,
     pub cards: Vec<Card>,
+    /// The ready nodes of the older arm and of the newest build; made anew when `stale`.
+    pub arms: [Vec<NodeIx>; 2],
+    pub stale: bool,
+    pub resting: usize,
     pub rpcs: BTreeMap<RpcIx, Rpc>,
     pub waiting: BTreeSet<(Duration, RpcIx)>,
     /// Picks sent lately to the older arm and to the newest build; halved from time to time.
@@ -372,6 +409,7 @@
     /// Usual time of an ok by method, in seconds.
     pub usual: Vec<f64>,
     pub oks: f64,
+    pub counted: Duration,
     pub draws: u64,
 }
 
