--- a/src/policy.rs
+++ b/src/policy.rs
@@ -53,6 +53,10 @@
 /// Answers slower than this part of the soft deadline mean a queue at the node.
 const SLOW: f64 = 0.35;
 const COLD_LIMIT: f64 = 2.0;
+/// The fleet is crowded when even the quicker quarter of the latest answers took this part of their soft
+/// deadline: a queue at all nodes delays all alike, a far zone, a slow method or tenant, ill nodes only some.
+const CROWDED: [f64; 2] = [0.25, 0.25];
+const LATEST: f64 = 24.0;
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
 const HEAD_START: f64 = 0.2;
 /// An RPC is given up when fewer than this many usual times are left before its soft deadline.
@@ -76,6 +80,11 @@
     a.n.min(b.n) >= LEAST_SAMPLE && a.mean() + eps(a) < b.mean() - eps(b) - margin
 }
 
+/// Bins of times by half powers of two, the last but two ending at the soft deadline.
+fn bin(part: f64) -> usize {
+    (part.max(1e-9).log2() * 2.0 + 13.0).clamp(0.0, 15.0) as usize
+}
+
 // ---- node ------------------------------------------------------------------------------------------------
 
 impl Node {
@@ -269,8 +278,12 @@
             }
             Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
                 self.oks += f64::from(u8::from(outcome == Outcome::Ok));
+                self.out -= 1.0;
                 let build = self.cards[node].entry.build;
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
+                    if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
+                        self.lags.times[bin(took.as_secs_f64() / cx.law.duties[r.method].soft)] += 1.0;
+                    }
                     if outcome == Outcome::Ok {
                         self.usual[r.method] += 0.05 * (took.as_secs_f64() - self.usual[r.method]);
                         let key = r.key.filter(|_| cx.law.exposure.one_way);
@@ -286,6 +299,7 @@
                         self.again(rpc, outcome.never_ran(), cx);
                     }
                 }
+                self.make_room(took, cx);
                 cx.put(FRONT, Note::Pump);
             }
             Note::Told(Event::StreamBegun { rpc, .. }) => {
@@ -315,6 +329,21 @@
         }
     }
 
+    /// A limit on all own picks in flight, besides each node's: with many marshals a node's queue grows though
+    /// each has but one pick there. Never below this marshal's share of the fleet's power, at which no node
+    /// need idle. Guards against bursts and overload, above all where a time-out stops no work.
+    fn make_room(&mut self, took: Duration, cx: &Cx) {
+        if self.lags.times.iter().sum::<f64>() > LATEST {
+            self.lags.halve();
+        }
+        let crowded = self.lags.edge(CROWDED[0], LATEST / 3.0).is_some_and(|e| e >= bin(CROWDED[1]));
+        if crowded && cx.now > self.cut + took {
+            (self.room, self.cut) = ((0.8 * self.out).max(self.fair), cx.now);
+        } else if !crowded && self.out + 2.0 > self.room {
+            self.room += 1.0 / self.room;
+        }
+    }
+
     /// Place among those that wait: by soft deadline, earlier for more utility.
     fn rank(&self, rpc: RpcIx, cx: &Cx) -> Option<(Duration, RpcIx)> {
         let r = self.rpcs.get(&rpc)?;
@@ -369,7 +398,7 @@
     }
 
     /// The ready nodes of each arm, and how many rest.
-    fn muster(&mut self) {
+    fn muster(&mut self, cx: &Cx) {
         let ready = |c: &&Card| c.ready;
         for (arm, list) in self.arms.iter_mut().enumerate() {
             let mine =
@@ -377,6 +406,8 @@
             *list = mine.map(|c| c.entry.node).collect();
         }
         self.resting = self.cards.iter().filter(ready).filter(|c| c.resting).count();
+        self.fair = (self.cards.iter().filter(ready).map(|c| power(&c.entry)).sum::<f64>() / cx.law.marshals)
+            .max(1.0);
         self.stale = false;
     }
 
@@ -425,7 +456,10 @@
     /// Picks arm and node for an RPC and sends it, if the gate lets it through anywhere.
     fn send(&mut self, rpc: RpcIx, cx: &mut Cx) -> bool {
         if self.stale {
-            self.muster();
+            self.muster(cx);
+        }
+        if self.out + 1.0 > self.room.max(self.fair) {
+            return false;
         }
         let Some((arm, entry)) = self.rpcs.get(&rpc).and_then(|r| self.choose(r, cx)) else { return false };
         self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
@@ -433,6 +467,7 @@
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.gate.book(cx, r.method, &entry);
         self.sent[arm] += 1.0;
+        self.out += 1.0;
         // A first pick that may be repeated leaves room for another; in a slow fleet, waiting is better.
         let (left, duty) = (r.until.saturating_sub(cx.now), &cx.law.duties[r.method]);
         let early = (0.6 * duty.soft).max(4.0 * self.usual[r.method]);
@@ -523,8 +558,7 @@
                 let young = entry.started.is_some_and(|start| at < start + YOUNG);
                 if !young && !outcome.never_ran() && outcome != Outcome::Cancelled {
                     ledger.paid.add(Tally::one(ok && took <= soft), 1.0);
-                    // Bins by half powers of two, the last but two ending at the soft deadline.
-                    let bin = ((took / soft).max(1e-9).log2() * 2.0 + 13.0).clamp(0.0, 15.0) as usize;
+                    let bin = bin(took / soft);
                     ledger.times[bin] += Tally::one(ok).good;
                     let calm = &self.before[kind * cx.law.duties.len() + method];
                     let edge = calm.edge(CALM, LEAST_SAMPLE).filter(|_| entry.build < self.newest);
@@ -808,7 +842,7 @@
     pub fn new(terms: &RolloutTerms) -> Self {
         let law = Charter::new(terms);
         let usual = law.duties.iter().map(|d| d.soft / 6.0).collect();
-        let front = Front { usual, new_first: true, retries: RETRIES[1], ..Front::default() };
+        let front = Front { usual, new_first: true, retries: RETRIES[1], room: f64::MAX, ..Front::default() };
         let past = vec![Ledger::default(); law.kinds * law.duties.len()];
         let judge = Judge { before: past.clone(), past, ..Judge::default() };
         let (nodes, scout, beat_at) = (Vec::new(), Scout::default(), Duration::ZERO);
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,7 @@
     pub seed: u64,
     /// This marshal's place among all, from 0 to 1.
     pub phase: f64,
+    pub marshals: f64,
 }
 
 /// What is owed to a method's RPCs.
@@ -117,6 +118,7 @@
             ask_within: if rules.ask_within.is_zero() { Duration::MAX } else { rules.ask_within },
             seed: terms.seed,
             phase: terms.marshal as f64 / marshals,
+            marshals,
         }
     }
 }
@@ -410,6 +412,13 @@
     pub usual: Vec<f64>,
     pub oks: f64,
     pub counted: Duration,
+    /// Own picks in flight, how many there may be, the part of the fleet's power that is this marshal's, times
+    /// of the latest answers, and when room was last cut.
+    pub out: f64,
+    pub room: f64,
+    pub fair: f64,
+    pub lags: Ledger,
+    pub cut: Duration,
     pub draws: u64,
 }
 
