--- a/src/policy.rs
+++ b/src/policy.rs
@@ -278,7 +278,6 @@
             }
             Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
                 self.oks += f64::from(u8::from(outcome == Outcome::Ok));
-                self.out -= 1.0;
                 let build = self.cards[node].entry.build;
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
                     if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
@@ -329,6 +328,12 @@
         }
     }
 
+    /// Own picks in flight. One past its soft deadline may be lost, and holds no place any longer.
+    fn out(&self, cx: &Cx) -> f64 {
+        let held = |r: &&Rpc| cx.now < r.soft && r.picks.iter().any(|p| p.out);
+        self.rpcs.values().filter(held).count() as f64
+    }
+
     /// A limit on all own picks in flight, besides each node's: with many marshals a node's queue grows though
     /// each has but one pick there. Never below this marshal's share of the fleet's power, at which no node
     /// need idle. Guards against bursts and overload, above all where a time-out stops no work.
@@ -338,8 +343,8 @@
         }
         let crowded = self.lags.edge(CROWDED[0], LATEST / 3.0).is_some_and(|e| e >= bin(CROWDED[1]));
         if crowded && cx.now > self.cut + took {
-            (self.room, self.cut) = ((0.8 * self.out).max(self.fair), cx.now);
-        } else if !crowded && self.out + 2.0 > self.room {
+            (self.room, self.cut) = ((0.8 * self.out(cx)).max(self.fair), cx.now);
+        } else if !crowded && self.out(cx) + 2.0 > self.room {
             self.room += 1.0 / self.room;
         }
     }
@@ -458,7 +463,7 @@
         if self.stale {
             self.muster(cx);
         }
-        if self.out + 1.0 > self.room.max(self.fair) {
+        if self.out(cx) + 1.0 > self.room.max(self.fair) {
             return false;
         }
         let Some((arm, entry)) = self.rpcs.get(&rpc).and_then(|r| self.choose(r, cx)) else { return false };
@@ -467,7 +472,6 @@
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.gate.book(cx, r.method, &entry);
         self.sent[arm] += 1.0;
-        self.out += 1.0;
         // A first pick that may be repeated leaves room for another; in a slow fleet, waiting is better.
         let (left, duty) = (r.until.saturating_sub(cx.now), &cx.law.duties[r.method]);
         let early = (0.6 * duty.soft).max(4.0 * self.usual[r.method]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -412,9 +412,8 @@
     pub usual: Vec<f64>,
     pub oks: f64,
     pub counted: Duration,
-    /// Own picks in flight, how many there may be, the part of the fleet's power that is this marshal's, times
+    /// How many own picks may be in flight, the part of the fleet's power that is this marshal's, times
     /// of the latest answers, and when room was last cut.
-    pub out: f64,
     pub room: f64,
     pub fair: f64,
     pub lags: Ledger,
