Take a seldom met node to be as quick as its kind and zone

Cause: in a large fleet a marshal has a few answers from each node; slower machines and those behind a far, lossy link looked like the rest.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,6 +48,8 @@
 const SERVED_OVER: f64 = 3.0;
 /// Repeats of picks that may have run: earned per RPC taken, and the most in store.
 const RETRIES: [f64; 2] = [0.2, 20.0];
+/// How much of its own kind and zone a node's pace takes at first, in answers, and the most own answers held.
+const MET: [f64; 2] = [6.0, 12.0];
 /// A node's first limit on own picks in flight.
 const FIRST_LIMIT: f64 = 4.0;
 /// Answers slower than this part of the soft deadline mean a queue at the node.
@@ -155,6 +157,7 @@
         }
         if outcome == Outcome::Ok {
             self.took += 0.15 * (took - self.took);
+            self.card.met = (self.card.met + 1.0).min(MET[1]);
         }
         // Slow answers mean a queue: send less, once a round trip; quick ones near the limit, more.
         let slow = outcome == Outcome::Timeout || took > SLOW * soft;
@@ -279,6 +282,15 @@
             Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
                 self.oks += f64::from(u8::from(outcome == Outcome::Ok));
                 let build = self.cards[node].entry.build;
+                let entry = self.cards[node].entry;
+                let lost = matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::NoConnection);
+                if lost || outcome == Outcome::Ok {
+                    // What went unanswered is no better than an answer at the soft deadline.
+                    let took = took.as_secs_f64().max(if lost { cx.law.least_soft } else { 0.0 });
+                    let usual =
+                        self.groups.entry((entry.kind, entry.zone)).or_insert(cx.law.least_soft / 6.0);
+                    *usual += 0.1 * (took - *usual);
+                }
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
                     if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
                         self.lags.times[bin(took.as_secs_f64() / cx.law.duties[r.method].soft)] += 1.0;
@@ -416,6 +428,14 @@
         self.stale = false;
     }
 
+    /// A node's pace; while this marshal has met it seldom, that of its kind and zone. In a large fleet a marshal
+    /// has a few answers from each node, but many from slower machines or from beyond a far and lossy link.
+    fn pace(&self, c: &Card, cx: &Cx) -> f64 {
+        let usual =
+            self.groups.get(&(c.entry.kind, c.entry.zone)).copied().unwrap_or(cx.law.least_soft / 6.0);
+        (MET[0] * usual + c.met * c.pace) / (MET[0] + c.met)
+    }
+
     /// A node for an RPC: of the arm of larger index within its limits, then of the other; wary of nodes that
     /// failed it, rest or are being tried again, unless there is no other way.
     fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, NodeEntry)> {
@@ -449,7 +469,7 @@
                     let tries = (nth..nth + 4).map(die).filter(|_| !list.is_empty()).chain(walk);
                     tries.map(|i| &self.cards[list[i]]).find(fits)
                 };
-                let cost = |c: &Card| (c.in_flight + 1) as f64 * c.pace;
+                let cost = |c: &Card| (c.in_flight + 1) as f64 * self.pace(c, cx);
                 if let Some((a, b)) = draw(0).and_then(|a| Some((a, draw(4)?))) {
                     return Some((arm, if cost(b) < cost(a) { b.entry } else { a.entry }));
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -230,6 +230,8 @@
     pub limit: f64,
     /// Expected time of one RPC here, in seconds, worse for a failing node.
     pub pace: f64,
+    /// Answers that the pace rests on.
+    pub met: f64,
     pub resting: bool,
     pub gentle: bool,
 }
@@ -412,6 +414,8 @@
     pub usual: Vec<f64>,
     pub oks: f64,
     pub counted: Duration,
+    /// Mean times by kind and zone, in seconds.
+    pub groups: BTreeMap<(usize, usize), f64>,
     /// How many own picks may be in flight, the part of the fleet's power that is this marshal's, times
     /// of the latest answers, and when room was last cut.
     pub room: f64,
