Keep each arm's share by picks due, from a place of its own at each marshal

Cause: the account of picks sent let all marshals try a new build at once, and in bursts when its share grew.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -17,6 +17,8 @@
 const LEAST_SAMPLE: f64 = 10.0;
 /// An arm gets at most this multiple of its share of the ready nodes.
 const SHARE_LIMIT: f64 = 1.1;
+/// The most picks that an arm may be behind or ahead of its share.
+const MOST_DUE: f64 = 3.0;
 /// A node counts for neither arm's payoff before this age.
 const YOUNG: Duration = Duration::from_secs(5);
 /// From a stage's machines running to the vote on, if nothing leans against the build.
@@ -268,7 +270,10 @@
                 self.stale |= (old.ready, old.resting, old.entry) != (card.ready, card.resting, card.entry);
             }
             Note::Favour { newest, new_first, starved } => {
-                self.stale |= self.newest != newest;
+                if self.newest != newest {
+                    // Low-traffic marshals take turns: else all of them try a new build at once.
+                    (self.stale, self.due) = (true, [1.0, cx.law.phase]);
+                }
                 (self.newest, self.new_first, self.starved) = (newest, new_first, starved);
             }
             Note::Told(Event::Rpc { rpc, method, key, left, .. }) => {
@@ -330,9 +335,6 @@
                 (self.oks, self.counted) = (0.0, cx.now);
                 let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * LOOK;
                 self.gate.forget(cx.now.saturating_sub(keep));
-                if self.sent[0] + self.sent[1] > 200.0 {
-                    self.sent = self.sent.map(|n| n / 2.0);
-                }
                 cx.put(FRONT, Note::Pump);
             }
             Note::Beat | Note::Pump => self.pump(cx),
@@ -438,7 +440,7 @@
 
     /// A node for an RPC: of the arm of larger index within its limits, then of the other; wary of nodes that
     /// failed it, rest or are being tried again, unless there is no other way.
-    fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, NodeEntry)> {
+    fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, [f64; 2], NodeEntry)> {
         let (all, new) = (self.arms[0].len() + self.arms[1].len(), self.arms[1].len());
         // Rehearsal, where the earlier machines stay until the release: in the last stage each new node gets
         // the load that it will have then, so that what fails only when busy fails before.
@@ -446,8 +448,8 @@
         let places = if rehearsal { new.max(all - new) } else { all };
         let share = new as f64 / places.max(1) as f64;
         let most_rest = 5 * self.resting >= 4 * all;
-        let limit = |part: f64| SHARE_LIMIT * part * (self.sent[0] + self.sent[1] + 1.0);
-        let within = [self.sent[0] <= limit(1.0 - share), self.sent[1] <= limit(share) && !self.starved];
+        let due = [SHARE_LIMIT * (1.0 - share), SHARE_LIMIT * share];
+        let within = [self.due[0] + due[0] >= 1.0, self.due[1] + due[1] >= 1.0 && !self.starved];
         // A pick that failed on the newest build is repeated on an older one first.
         let first = usize::from(self.new_first && !r.burnt && !self.starved);
         let orders = [(first, true), (1 - first, true), (first, false), (1 - first, false)];
@@ -471,7 +473,7 @@
                 };
                 let cost = |c: &Card| (c.in_flight + 1) as f64 * self.pace(c, cx);
                 if let Some((a, b)) = draw(0).and_then(|a| Some((a, draw(4)?))) {
-                    return Some((arm, if cost(b) < cost(a) { b.entry } else { a.entry }));
+                    return Some((arm, due, if cost(b) < cost(a) { b.entry } else { a.entry }));
                 }
             }
         }
@@ -486,12 +488,16 @@
         if self.out(cx) + 1.0 > self.room.max(self.fair) {
             return false;
         }
-        let Some((arm, entry)) = self.rpcs.get(&rpc).and_then(|r| self.choose(r, cx)) else { return false };
+        let Some((arm, due, entry)) = self.rpcs.get(&rpc).and_then(|r| self.choose(r, cx)) else {
+            return false;
+        };
         self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
         self.draws += 8;
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.gate.book(cx, r.method, &entry);
-        self.sent[arm] += 1.0;
+        // What an arm has not used, or used beyond its share for want of the other, is soon forgotten.
+        self.due.iter_mut().zip(due).for_each(|(d, share)| *d = (*d + share).clamp(-MOST_DUE, MOST_DUE));
+        self.due[arm] -= 1.0;
         // A first pick that may be repeated leaves room for another; in a slow fleet, waiting is better.
         let (left, duty) = (r.until.saturating_sub(cx.now), &cx.law.duties[r.method]);
         let early = (0.6 * duty.soft).max(4.0 * self.usual[r.method]);
--- a/src/state.rs
+++ b/src/state.rs
@@ -403,8 +403,8 @@
     pub resting: usize,
     pub rpcs: BTreeMap<RpcIx, Rpc>,
     pub waiting: BTreeSet<(Duration, RpcIx)>,
-    /// Picks sent lately to the older arm and to the newest build; halved from time to time.
-    pub sent: [f64; 2],
+    /// Picks due to the older arm and to the newest build by their shares.
+    pub due: [f64; 2],
     pub newest: Build,
     pub new_first: bool,
     /// The build on trial gets nothing for now.
