Sum peers' counts in rings of rings, each marshal counted once, told once a second

Now a marshal tells ring - 1 others per level what ring^k marshals counted. Also holds against loss, repetition, strangers' and absurd messages; may lag by a second a level.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -42,8 +42,11 @@
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
 const ABSTAIN: [Duration; 3] =
     [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(5)];
-/// Peers' counts older than this say nothing.
-const FRESH: Duration = Duration::from_secs(3);
+/// Peers' counts are told this often, and say nothing when older than that.
+const TELL: Duration = Duration::from_millis(1000);
+const FRESH: Duration = Duration::from_millis(3200);
+/// The most marshals in a ring that tell one another directly.
+const RING: f64 = 8.0;
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
 const COLD_PART: f64 = 1.0;
 /// The served rate is averaged over this many seconds.
@@ -608,8 +611,17 @@
                 self.sums[usize::from(build != self.newest)].add(sum, 1.0);
             }
             Note::Told(Event::Peer { from, text }) => {
-                let Some((build, abstains, pairs)) = read_pairs(&text) else { return };
-                self.heard.insert(from, (cx.now, build, pairs));
+                let Some((build, abstains, level, pairs)) = read_pairs(&text) else { return };
+                // Only who sits a whole number of spans before this marshal sums what nobody else here does.
+                let (ring, back) = (self.ring, (cx.law.marshal + cx.law.crowd).checked_sub(from));
+                let (Some(span), Some(back)) = (ring.checked_pow(level), back.map(|b| b % cx.law.crowd))
+                else {
+                    return;
+                };
+                if level >= self.levels || back % span != 0 || !(1..ring).contains(&(back / span)) {
+                    return;
+                }
+                self.heard.insert((level, back / span), (cx.now, build, pairs));
                 // All abstain together, or the build's traffic does not cease.
                 self.strain.joined |= abstains && build == self.newest;
             }
@@ -741,15 +753,22 @@
         let (mut pairs, nodes) = self.own_pairs(cx);
         let (new_first, starved) = (index(pairs[0][0]) >= index(pairs[0][1]), self.strain.since.is_some());
         cx.put(FRONT, Note::Favour { newest: self.newest, new_first, starved });
-        if cx.law.peers && cx.now >= self.told + 5 * LOOK && pairs.iter().any(|p| p[0].n >= 1.0) {
-            self.told = cx.now;
-            let text = write_pairs(self.newest, starved, &pairs);
-            cx.out.push(Action::Tell { to: None, text });
-        }
-        // Votes rest on own evidence, widened by fresh peers' and by the platform's sums.
-        for (at, build, theirs) in self.heard.values() {
-            if *build == self.newest && cx.now < *at + FRESH && theirs.len() == pairs.len() {
-                pairs.iter_mut().zip(theirs).for_each(|(a, b)| join(a, b));
+        // Votes rest on own evidence, widened by fresh peers' and by the platform's sums. At level k a marshal tells
+        // ring - 1 others what ring^k marshals up to itself counted: each is counted once, whatever the fleet.
+        let due = cx.now >= self.told + TELL || starved != std::mem::replace(&mut self.said, starved);
+        let tell = cx.law.peers && due && self.before.iter().any(|l| l.paid.n > 0.0);
+        for level in 0..self.levels {
+            let span = self.ring.pow(level);
+            if tell && pairs.iter().any(|p| p[0].n >= 1.0) {
+                self.told = cx.now;
+                let text = write_pairs(self.newest, starved, level, &pairs);
+                let to = (1..self.ring).map(|j| Some((cx.law.marshal + j * span) % cx.law.crowd));
+                cx.out.extend(to.map(|to| Action::Tell { to, text: text.clone() }));
+            }
+            for (at, build, theirs) in self.heard.range((level, 0)..(level + 1, 0)).map(|h| h.1) {
+                if *build == self.newest && cx.now < *at + FRESH && theirs.len() == pairs.len() {
+                    pairs.iter_mut().zip(theirs).for_each(|(a, b)| join(a, b));
+                }
             }
         }
         // The platform counts full and cold nodes as failures: its sums speak of payoff, not soundness.
@@ -874,7 +893,10 @@
         let usual = law.duties.iter().map(|d| d.soft / 6.0).collect();
         let front = Front { usual, new_first: true, retries: RETRIES[1], room: f64::MAX, ..Front::default() };
         let past = vec![Ledger::default(); law.kinds * law.duties.len()];
-        let judge = Judge { before: past.clone(), past, ..Judge::default() };
+        // Rings of rings: as few levels as let each marshal tell few others, at any number of marshals.
+        let levels = ((law.marshals.ln() / RING.ln()).ceil()).max(1.0);
+        let ring = (law.marshals.powf(1.0 / levels) + 1e-6) as usize;
+        let judge = Judge { before: past.clone(), past, ring, levels: levels as u32, ..Judge::default() };
         let (nodes, scout, beat_at) = (Vec::new(), Scout::default(), Duration::ZERO);
         Marshal { cx: Cx::new(law), nodes, front, judge, scout, beat_at }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -63,6 +63,8 @@
     /// This marshal's place among all, from 0 to 1.
     pub phase: f64,
     pub marshals: f64,
+    pub crowd: usize,
+    pub marshal: usize,
 }
 
 /// What is owed to a method's RPCs.
@@ -119,6 +121,8 @@
             seed: terms.seed,
             phase: terms.marshal as f64 / marshals,
             marshals,
+            crowd: terms.marshals.max(1),
+            marshal: terms.marshal,
         }
     }
 }
@@ -343,20 +347,22 @@
     }
 }
 
-/// Counts for peers: the build, then four counts a question. Loss and repetition do no harm.
-pub fn write_pairs(build: Build, abstains: bool, pairs: &[Pair]) -> Vec<u8> {
-    let counts = pairs.iter().flatten().flat_map(|t| [t.n, t.good]);
-    let words =
-        [build as u16, u16::from(abstains)].into_iter().chain(counts.map(|x| x.clamp(0.0, 65535.0) as u16));
+/// Counts for peers: the build, whether it gets nothing, the level, then four counts a question, scaled to
+/// fit where they are many. Loss and repetition do no harm.
+pub fn write_pairs(build: Build, abstains: bool, level: u32, pairs: &[Pair]) -> Vec<u8> {
+    let counts = || pairs.iter().flatten().flat_map(|t| [t.n, t.good]);
+    let scale = (65535.0 / counts().fold(1.0, f64::max)).min(1.0);
+    let head = [build as u16, u16::from(abstains) + 2 * level as u16];
+    let words = head.into_iter().chain(counts().map(|x| (x.max(0.0) * scale) as u16));
     words.flat_map(u16::to_le_bytes).collect()
 }
 
-pub fn read_pairs(text: &[u8]) -> Option<(Build, bool, Vec<Pair>)> {
+pub fn read_pairs(text: &[u8]) -> Option<(Build, bool, u32, Vec<Pair>)> {
     let words: Vec<u16> = text.chunks_exact(2).map(|b| u16::from_le_bytes([b[0], b[1]])).collect();
-    let [build, abstains, counts @ ..] = &words[..] else { return None };
+    let [build, head, counts @ ..] = &words[..] else { return None };
     let tally = |n: u16, good: u16| Tally { n: n.into(), good: good.min(n).into() };
     let pairs = counts.chunks_exact(4).map(|w| [tally(w[0], w[1]), tally(w[2], w[3])]);
-    Some(((*build).into(), *abstains != 0, pairs.collect()))
+    Some(((*build).into(), head % 2 != 0, (head / 2).into(), pairs.collect()))
 }
 
 // ---- the parts' own state --------------------------------------------------------------------------------
@@ -436,7 +442,10 @@
     pub places: f64,
     pub news: Option<News>,
     pub begun: Option<(Build, usize, Duration)>,
-    pub heard: BTreeMap<usize, (Duration, Build, Vec<Pair>)>,
+    /// What peers summed, by level and place in the ring.
+    pub heard: BTreeMap<(u32, usize), (Duration, Build, Vec<Pair>)>,
+    pub ring: usize,
+    pub levels: u32,
     pub sums: Pair,
     /// The last vote, when it was sent, and whether it is known to count.
     pub cast: Option<((Verdict, usize, Build), Duration, bool)>,
@@ -445,6 +454,8 @@
     pub guilty: Option<Duration>,
     pub halved: Duration,
     pub told: Duration,
+    /// Whether the build got nothing when peers were last told.
+    pub said: bool,
     pub looked: Duration,
 }
 
