Keep a marshal to as many nodes as its own traffic keeps connected

Cause: 660 marshals against every node used up what nodes accept, and nearly each pick opened a connection. Also holds against accept limits told nowhere; widens when none of the near nodes fits; may hurt the evenness of load.

--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -154,6 +154,7 @@
             cancel: p.flag("bounds.cancel")?,
             probes: p.flag("bounds.probes")?,
             peers: p.flag("bounds.peers")?,
+            idle_kept: p.span("bounds.conn_idle")?,
             retry_after,
         },
     };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,6 +55,9 @@
 const RETRIES: [f64; 2] = [0.2, 20.0];
 /// How much of its own kind and zone a node's pace takes at first, in answers, and the most own answers held.
 const MET: [f64; 2] = [6.0, 12.0];
+/// A marshal uses as many nodes as its RPCs meet this often while an idle connection is kept, and no fewer than
+/// the second figure; its own rate is averaged over the third, in seconds.
+const KEPT: [f64; 3] = [5.0, 6.0, 10.0];
 /// A node's first limit on own picks in flight.
 const FIRST_LIMIT: f64 = 4.0;
 /// Answers slower than this part of the soft deadline mean a queue at the node.
@@ -282,6 +285,7 @@
             Note::Told(Event::Rpc { rpc, method, key, left, .. }) => {
                 let duty = &cx.law.duties[method];
                 self.gate.taken.entry(duty.slot).or_default().push_back(cx.now);
+                self.pulse[0] += 1.0;
                 self.retries = (self.retries + RETRIES[0]).min(RETRIES[1]);
                 let (soft, until) = (cx.now + secs(duty.soft).min(left), cx.now + left);
                 self.rpcs.insert(rpc, Rpc { method, key, soft, until, ..Rpc::default() });
@@ -336,6 +340,8 @@
                 let step = (cx.now - self.counted).as_secs_f64().min(SERVED_OVER);
                 self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
                 (self.oks, self.counted) = (0.0, cx.now);
+                self.pulse = self.pulse.map(|x| x * (1.0 - step / KEPT[2]));
+                self.pulse[1] += step;
                 let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * LOOK;
                 self.gate.forget(cx.now.saturating_sub(keep));
                 cx.put(FRONT, Note::Pump);
@@ -419,13 +425,14 @@
         }
     }
 
-    /// The ready nodes of each arm, and how many rest.
+    /// The ready nodes of each arm in this marshal's own order, and how many rest.
     fn muster(&mut self, cx: &Cx) {
         let ready = |c: &&Card| c.ready;
         for (arm, list) in self.arms.iter_mut().enumerate() {
             let mine =
                 self.cards.iter().filter(ready).filter(|c| (c.entry.build == self.newest) == (arm == 1));
             *list = mine.map(|c| c.entry.node).collect();
+            list.sort_by_key(|&node| chance(cx.law.seed, 1 << 62 | node as u64));
         }
         self.resting = self.cards.iter().filter(ready).filter(|c| c.resting).count();
         self.fair = (self.cards.iter().filter(ready).map(|c| power(&c.entry)).sum::<f64>() / cx.law.marshals)
@@ -450,6 +457,7 @@
         let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
         let places = if rehearsal { new.max(all - new) } else { all };
         let share = new as f64 / places.max(1) as f64;
+        let reach = (self.pulse[0] / self.pulse[1].max(1.0) * cx.law.kept / KEPT[0]).max(KEPT[1]);
         let most_rest = 5 * self.resting >= 4 * all;
         let due = [SHARE_LIMIT * (1.0 - share), SHARE_LIMIT * share];
         let within = [self.due[0] + due[0] >= 1.0, self.due[1] + due[1] >= 1.0 && !self.starved];
@@ -467,11 +475,15 @@
                         && self.gate.admits(cx, r, c)
                 };
                 // Two random choices; where few fit, the walk from a random place finds one that does.
+                // They are drawn among the first of the marshal's own order of nodes; the rest are next.
                 let list = &self.arms[arm];
+                let near =
+                    ((reach * list.len() as f64 / all as f64).ceil() as usize).clamp(2, list.len().max(2));
+                let near = near.min(list.len());
                 let draw = |nth: u64| {
-                    let die = |i: u64| chance(cx.law.seed, self.draws + i) as usize % list.len().max(1);
-                    let walk = (0..list.len()).map(|i| (die(nth) + i) % list.len());
-                    let tries = (nth..nth + 4).map(die).filter(|_| !list.is_empty()).chain(walk);
+                    let die = |i: u64| chance(cx.law.seed, self.draws + i) as usize % near.max(1);
+                    let walk = (0..near).map(|i| (die(nth) + i) % near).chain(near..list.len());
+                    let tries = (nth..nth + 4).map(die).filter(|_| near > 0).chain(walk);
                     tries.map(|i| &self.cards[list[i]]).find(fits)
                 };
                 let cost = |c: &Card| (c.in_flight + 1) as f64 * self.pace(c, cx);
--- a/src/port.rs
+++ b/src/port.rs
@@ -106,6 +106,8 @@
     pub cancel: bool,
     pub probes: bool,
     pub peers: bool,
+    /// Idle connections are closed after this long.
+    pub idle_kept: Duration,
     /// The longest come-back time that a push-back may carry; none where it is not conveyed.
     pub retry_after: Option<Duration>,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,8 @@
     pub seed: u64,
     /// This marshal's place among all, from 0 to 1.
     pub phase: f64,
+    /// Seconds for which an idle connection is kept.
+    pub kept: f64,
     pub marshals: f64,
     pub crowd: usize,
     pub marshal: usize,
@@ -121,6 +123,7 @@
             seed: terms.seed,
             phase: terms.marshal as f64 / marshals,
             marshals,
+            kept: limits.idle_kept.as_secs_f64(),
             crowd: terms.marshals.max(1),
             marshal: terms.marshal,
         }
@@ -428,6 +431,8 @@
     pub fair: f64,
     pub lags: Ledger,
     pub cut: Duration,
+    /// RPCs taken lately, and the seconds in which they came.
+    pub pulse: [f64; 2],
     pub draws: u64,
 }
 
--- a/tests/marshal/world.rs
+++ b/tests/marshal/world.rs
@@ -68,6 +68,7 @@
             cancel: true,
             probes: false,
             peers: true,
+            idle_kept: ms(15_000),
             retry_after: Some(ms(1000)),
         },
     }
