--- a/src/policy.rs
+++ b/src/policy.rs
@@ -58,11 +58,6 @@
 /// A marshal uses as many nodes as its RPCs meet this often while an idle connection is kept, and no fewer than
 /// the second figure; its own rate is averaged over the third, in seconds.
 const KEPT: [f64; 3] = [5.0, 6.0, 10.0];
-/// A node's first limit on own picks in flight.
-const FIRST_LIMIT: f64 = 4.0;
-/// Answers slower than this part of the soft deadline mean a queue at the node.
-const SLOW: f64 = 0.35;
-const COLD_LIMIT: f64 = 2.0;
 /// The fleet is crowded when even the quicker quarter of the latest answers took this part of their soft
 /// deadline: a queue at all nodes delays all alike, a far zone, a slow method or tenant, ill nodes only some.
 const CROWDED: [f64; 2] = [0.25, 0.25];
@@ -106,7 +101,6 @@
                     // A new process: what the earlier one did says nothing of it.
                     let out = std::mem::take(&mut self.out);
                     *self = Node { out, took: cx.law.least_soft / 6.0, ..Node::default() };
-                    self.card.limit = if entry.started.is_some() { COLD_LIMIT } else { FIRST_LIMIT };
                 }
                 (self.card.ready, self.card.entry) = (entry.readiness == Readiness::Ready, entry);
             }
@@ -114,7 +108,7 @@
             Note::Told(Event::PickEnded { rpc, pick, outcome, took, .. }) => {
                 if let Some(i) = self.out.iter().position(|o| (o.0, o.1) == (rpc, pick)) {
                     let ((.., method, at, entry), took) = (self.out.swap_remove(i), took.as_secs_f64());
-                    self.learn(cx.now, cx.law.duties[method].soft, outcome, took);
+                    self.learn(cx.now, outcome, took);
                     cx.put(JUDGE, Note::Booked { entry, method, at, outcome, took });
                 }
             }
@@ -144,14 +138,13 @@
     /// Health from own outcomes alone: failures rest the node for growing spans, then it is tried gently.
     /// Guards against dead, silent and quickly failing nodes alike; hurts when a build fails everywhere, for
     /// which the front looks past rests once most nodes rest.
-    fn learn(&mut self, now: Duration, soft: f64, outcome: Outcome, took: f64) {
+    fn learn(&mut self, now: Duration, outcome: Outcome, took: f64) {
         let failed = match outcome {
             Outcome::Ok => 0.0,
             Outcome::Error | Outcome::Timeout => 1.0,
             Outcome::Reset | Outcome::NoConnection => 3.0,
             // Turned away unseen: the node is full, not ill.
-            Outcome::Full => return self.card.limit = (self.card.in_flight as f64 * 0.7).max(1.0),
-            Outcome::Cancelled | Outcome::Moot => return,
+            Outcome::Full | Outcome::Cancelled | Outcome::Moot => return,
         };
         if outcome != Outcome::Timeout {
             self.heard = now;
@@ -167,13 +160,6 @@
             self.took += 0.15 * (took - self.took);
             self.card.met = (self.card.met + 1.0).min(MET[1]);
         }
-        // Slow answers mean a queue: send less, once a round trip; quick ones near the limit, more.
-        let slow = outcome == Outcome::Timeout || took > SLOW * soft;
-        if slow && now > self.cut + secs(took) {
-            (self.card.limit, self.cut) = ((self.card.limit * 0.8).max(1.0), now);
-        } else if !slow && failed == 0.0 && self.out.len() as f64 > 0.6 * self.card.limit - 1.0 {
-            self.card.limit += 1.0 / self.card.limit;
-        }
     }
 }
 
@@ -470,9 +456,7 @@
                     let unsure = c.in_flight > 0 || cx.law.duties[r.method].repeat == Repeat::NonIdempotent;
                     let failed = || r.picks.iter().any(|p| p.entry.node == c.entry.node);
                     let doubt = c.resting || (c.gentle && unsure) || failed();
-                    (c.in_flight as f64) < c.limit.floor()
-                        && if wary { !doubt } else { !c.resting || most_rest }
-                        && self.gate.admits(cx, r, c)
+                    (if wary { !doubt } else { !c.resting || most_rest }) && self.gate.admits(cx, r, c)
                 };
                 // Two random choices; where few fit, the walk from a random place finds one that does.
                 // They are drawn among the first of the marshal's own order of nodes; the rest are next.
@@ -693,17 +677,6 @@
         self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
-    /// While nodes of both builds fail, what ill nodes on trial did is not held against their build, unless
-    /// most of them are ill. Guards against fleet trouble that strikes the few nodes on trial as well.
-    fn excuse(&mut self) {
-        let newest = self.newest;
-        let ill = |b: &&mut Book| b.ready && b.ill && b.entry.build == newest;
-        let others = self.books.iter().any(|b| b.ready && b.ill && b.entry.build != newest);
-        if others && 2 * self.books.iter_mut().filter(ill).count() <= self.ready(true) + 1 {
-            self.books.iter_mut().filter(ill).for_each(|b| b.methods.fill(Ledger::default()));
-        }
-    }
-
     /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble that
     /// strikes a few nodes, whatever their build, convicts no build. Guards against quick errors, crashes and
     /// wrong answers of single machines; it delays the verdict on a build whose failures are rare. Too few
@@ -761,7 +734,6 @@
             }
             self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
         }
-        self.excuse();
         let (mut pairs, nodes) = self.own_pairs(cx);
         let (new_first, starved) = (index(pairs[0][0]) >= index(pairs[0][1]), self.strain.since.is_some());
         cx.put(FRONT, Note::Favour { newest: self.newest, new_first, starved });
--- a/src/state.rs
+++ b/src/state.rs
@@ -234,7 +234,6 @@
     pub entry: NodeEntry,
     pub ready: bool,
     pub in_flight: usize,
-    pub limit: f64,
     /// Expected time of one RPC here, in seconds, worse for a failing node.
     pub pace: f64,
     /// Answers that the pace rests on.
@@ -375,7 +374,6 @@
     pub card: Card,
     pub out: Vec<(RpcIx, usize, usize, Duration, NodeEntry)>,
     pub heard: Duration,
-    pub cut: Duration,
     pub ill: f64,
     pub rests: u32,
     pub rest_until: Duration,
