--- a/src/policy.rs
+++ b/src/policy.rs
@@ -492,14 +492,15 @@
         };
         self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
         self.draws += 8;
+        let pace = self.pace(&self.cards[entry.node], cx);
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.gate.book(cx, r.method, &entry);
         // What an arm has not used, or used beyond its share for want of the other, is soon forgotten.
         self.due.iter_mut().zip(due).for_each(|(d, share)| *d = (*d + share).clamp(-MOST_DUE, MOST_DUE));
         self.due[arm] -= 1.0;
-        // A first pick that may be repeated leaves room for another; in a slow fleet, waiting is better.
+        // A first pick that may be repeated leaves room for another; at a slow node, waiting is better.
         let (left, duty) = (r.until.saturating_sub(cx.now), &cx.law.duties[r.method]);
-        let early = (0.6 * duty.soft).max(4.0 * self.usual[r.method]);
+        let early = (0.6 * duty.soft).max(4.0 * self.usual[r.method].max(pace));
         let repeatable = duty.repeat != Repeat::NonIdempotent && self.retries >= 1.0;
         let leave_room = repeatable && r.picks.is_empty() && early < 0.8 * duty.soft;
         let within = if leave_room { secs(early).min(left) } else { left };
