--- a/src/policy.rs
+++ b/src/policy.rs
@@ -45,6 +45,8 @@
 /// Peers' counts are told this often, and say nothing when older than that.
 const TELL: Duration = Duration::from_millis(1000);
 const FRESH: Duration = Duration::from_millis(3200);
+/// So many marshals log their votes: hundreds would say the same.
+const LOUD: usize = 8;
 /// The most marshals in a ring that tell one another directly.
 const RING: f64 = 8.0;
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
@@ -814,7 +816,7 @@
         {
             return;
         }
-        if self.cast.is_none_or(|(cast, ..)| cast != wish) {
+        if self.cast.is_none_or(|(cast, ..)| cast != wish) && cx.law.marshal < LOUD {
             let why = found.or(worse(0.4)).map_or(String::new(), |q| format!(", question {q}"));
             cx.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}{why}")));
         }
