Count and choose cold nodes by what they can do at present, at the least

Cause: where a stage swaps much of the fleet, young nodes got full shares and their queues outlasted the 5 s.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -92,6 +92,12 @@
     (part.max(1e-9).log2() * 2.0 + 13.0).clamp(0.0, 15.0) as usize
 }
 
+/// The least part of its capacity that a node has at some age.
+fn present(law: &Charter, age: Duration) -> f64 {
+    let grown = age.as_secs_f64() / law.warming.as_secs_f64().max(0.001);
+    law.cold_from + (1.0 - law.cold_from) * grown.min(1.0)
+}
+
 // ---- node ------------------------------------------------------------------------------------------------
 
 impl Node {
@@ -234,9 +240,8 @@
         if age >= law.warming + law.fall_window {
             return true;
         }
-        let grown = age.saturating_sub(law.fall_window).as_secs_f64() / law.warming.as_secs_f64().max(0.001);
-        let present = law.cold_from + (1.0 - law.cold_from) * grown.min(1.0);
-        let budget = COLD_PART * law.fall_budget * present * self.served * power(entry);
+        let least = present(law, age.saturating_sub(law.fall_window));
+        let budget = COLD_PART * law.fall_budget * least * self.served * power(entry);
         let window = (age.as_secs_f64() / law.fall_window.as_secs_f64().max(0.001) + law.phase) as u64;
         let lot = chance(law.seed, 1 << 63 | (entry.node as u64) << 32 | window) as f64 / u64::MAX as f64;
         let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window);
@@ -327,7 +332,7 @@
                 let power = warm.map(|c| power(&c.entry)).sum::<f64>().max(1.0);
                 let step = (cx.now - self.counted).as_secs_f64().min(SERVED_OVER);
                 self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
-                (self.oks, self.counted) = (0.0, cx.now);
+                (self.oks, self.counted, self.stale) = (0.0, cx.now, true);
                 self.pulse = self.pulse.map(|x| x * (1.0 - step / KEPT[2]));
                 self.pulse[1] += step;
                 let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * LOOK;
@@ -423,8 +428,11 @@
             list.sort_by_key(|&node| chance(cx.law.seed, 1 << 62 | node as u64));
         }
         self.resting = self.cards.iter().filter(ready).filter(|c| c.resting).count();
-        self.fair = (self.cards.iter().filter(ready).map(|c| power(&c.entry)).sum::<f64>() / cx.law.marshals)
-            .max(1.0);
+        // Cold nodes count for what they can do: where a stage swaps much of the fleet, the rest bears the load.
+        let weigh =
+            |n: &NodeIx| present(&cx.law, cx.age(&self.cards[*n].entry)) * power(&self.cards[*n].entry);
+        self.weights = [0, 1].map(|arm: usize| self.arms[arm].iter().map(weigh).sum());
+        self.fair = ((self.weights[0] + self.weights[1]) / cx.law.marshals).max(1.0);
         self.stale = false;
     }
 
@@ -433,18 +441,18 @@
     fn pace(&self, c: &Card, cx: &Cx) -> f64 {
         let usual =
             self.groups.get(&(c.entry.kind, c.entry.zone)).copied().unwrap_or(cx.law.least_soft / 6.0);
-        (MET[0] * usual + c.met * c.pace) / (MET[0] + c.met)
+        (MET[0] * usual + c.met * c.pace) / (MET[0] + c.met) / present(&cx.law, cx.age(&c.entry))
     }
 
     /// A node for an RPC: of the arm of larger index within its limits, then of the other; wary of nodes that
     /// failed it, rest or are being tried again, unless there is no other way.
     fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, [f64; 2], NodeEntry)> {
-        let (all, new) = (self.arms[0].len() + self.arms[1].len(), self.arms[1].len());
+        let all = self.arms[0].len() + self.arms[1].len();
         // Rehearsal, where the earlier machines stay until the release: in the last stage each new node gets
         // the load that it will have then, so that what fails only when busy fails before.
         let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
-        let places = if rehearsal { new.max(all - new) } else { all };
-        let share = new as f64 / places.max(1) as f64;
+        let [old, new] = self.weights;
+        let share = new / if rehearsal { new.max(old) } else { new + old }.max(1e-9);
         let reach = (self.pulse[0] / self.pulse[1].max(1.0) * cx.law.kept / KEPT[0]).max(KEPT[1]);
         let most_rest = 5 * self.resting >= 4 * all;
         let due = [SHARE_LIMIT * (1.0 - share), SHARE_LIMIT * share];
--- a/src/state.rs
+++ b/src/state.rs
@@ -407,6 +407,8 @@
     /// The ready nodes of the older arm and of the newest build; made anew when `stale`.
     pub arms: [Vec<NodeIx>; 2],
     pub stale: bool,
+    /// What the nodes of each arm can do at present, at the least.
+    pub weights: [f64; 2],
     pub resting: usize,
     pub rpcs: BTreeMap<RpcIx, Rpc>,
     pub waiting: BTreeSet<(Duration, RpcIx)>,
