--- a/src/policy.rs
+++ b/src/policy.rs
@@ -530,16 +530,11 @@
 /// else it is cleared for this stage. Acts only on trial, while older nodes are the majority and the fleet
 /// is whole. Hurts by its delay.
 impl Strain {
-    fn book(&mut self, at: Duration, one: Tally, calm: Tally) {
+    fn book(&mut self, at: Duration, one: Tally) {
         // What was sent before the build's return, and is slow, ends after it: not counted.
         match (self.since, self.relieved) {
             (None, Some(relieved)) if at < relieved + 5 * LOOK => {}
-            (None, _) => {
-                self.lately.add(one, 1.0);
-                // Coarse bins hold more than the part asked for: what they held when calm is the yardstick.
-                self.calm.add(calm, 1.0 / calm.n);
-                self.known += 0.05 * (calm.n - self.known);
-            }
+            (None, _) => self.lately.add(one, 1.0),
             (Some(since), _) if at >= since + ABSTAIN[1] => self.off.add(one, 1.0),
             _ => {}
         }
@@ -550,7 +545,7 @@
         &mut self, now: Duration, trial: (Build, usize), nodes: usize, [apart, lost]: [bool; 2],
         [off, on]: Pair,
     ) -> (bool, bool) {
-        let calm = Tally { n: self.known, good: self.known * self.calm.mean() };
+        let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
         let strained = below(self.lately, calm, STRAINED, 0.5, var);
         if strained && nodes == 0 {
@@ -574,7 +569,7 @@
             }
             (Some(since), _) if now >= since + ABSTAIN[0] => {
                 // Recovery by more than half counts: other troubles ease by themselves, and by less.
-                let relief = eased && off.mean() > 0.5 * (on.mean() + calm.mean());
+                let relief = eased && off.mean() > 0.5 * (on.mean() + CALM);
                 self.relieved = relief.then_some(now);
                 (self.level, self.cleared) = (on.mean(), (!relief).then_some(trial));
                 (self.since, self.lately) = (None, Tally::default());
@@ -583,7 +578,6 @@
         }
         if self.since.is_none() {
             self.lately.add(self.lately, -0.05);
-            self.calm.add(self.calm, -0.05);
         }
         (strained || self.since.is_some() || self.relieved.is_some(), false)
     }
@@ -607,9 +601,8 @@
                     let bin = bin(took / soft);
                     ledger.times[bin] += Tally::one(ok).good;
                     let calm = &self.before[kind * cx.law.duties.len() + method];
-                    if let Some(edge) = calm.edge(CALM, LEAST_SAMPLE).filter(|_| entry.build < self.newest) {
-                        self.strain.book(at, Tally::one(ok && bin <= edge), calm.upto(edge));
-                    }
+                    let edge = calm.edge(CALM, LEAST_SAMPLE).filter(|_| entry.build < self.newest);
+                    edge.into_iter().for_each(|edge| self.strain.book(at, Tally::one(ok && bin <= edge)));
                 }
             }
             Note::Told(Event::Disputed { node, method, age }) => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -475,9 +475,6 @@
 #[derive(Default)]
 pub struct Strain {
     pub lately: Tally,
-    /// What the same would have been before the trial, and on how many answers that rests.
-    pub calm: Tally,
-    pub known: f64,
     pub off: Tally,
     pub since: Option<Duration>,
     /// A peer has begun to abstain.
