--- a/src/policy.rs
+++ b/src/policy.rs
@@ -398,9 +398,6 @@
 
     fn give_up(&mut self, rpc: RpcIx, cx: &mut Cx) {
         let Some(r) = self.rpcs.get(&rpc) else { return };
-        if r.picks.is_empty() {
-            cx.put(JUDGE, Note::Shed);
-        }
         let come_back = secs(2.0 * self.usual[r.method]);
         let retry_after = cx.law.retry_after.map(|most| come_back.min(most));
         let harmless = Gate::may_push_back(cx, r);
@@ -608,8 +605,6 @@
                     edge.into_iter().for_each(|edge| self.strain.book(at, Tally::one(ok && bin <= edge)));
                 }
             }
-            // The limit on all picks keeps answers brisk under strain: what it sheds shows the strain instead.
-            Note::Shed => self.strain.book(cx.now, Tally::one(false)),
             Note::Told(Event::Disputed { node, method, age }) => {
                 let before = |b: &&mut Book| cx.age(&b.entry) > age;
                 if let Some(book) = self.books.get_mut(node).filter(before) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -138,26 +138,10 @@
 pub enum Note {
     Told(Event),
     Listed(NodeEntry),
-    Sent {
-        rpc: RpcIx,
-        pick: usize,
-        method: usize,
-    },
+    Sent { rpc: RpcIx, pick: usize, method: usize },
     Card(Card),
-    Booked {
-        entry: NodeEntry,
-        method: usize,
-        at: Duration,
-        outcome: Outcome,
-        took: f64,
-    },
-    Favour {
-        newest: Build,
-        new_first: bool,
-        starved: bool,
-    },
-    /// An RPC was given up before any pick.
-    Shed,
+    Booked { entry: NodeEntry, method: usize, at: Duration, outcome: Outcome, took: f64 },
+    Favour { newest: Build, new_first: bool, starved: bool },
     Pump,
     Beat,
 }
