--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,59 +9,60 @@
 use crate::port::*;
 use crate::state::*;
 
-/// Waits and silences are looked at every beat, verdicts every look.
-const BEAT: Duration = Duration::from_millis(20);
-const LOOK: Duration = Duration::from_millis(100);
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Waits and silences are looked at every beat, verdicts and idle marshals every look.
+const BEAT: Duration = ms(20);
+const LOOK: Duration = ms(100);
 const ALPHA: f64 = 2.0;
 const DELTA: f64 = 0.05;
 const LEAST_SAMPLE: f64 = 10.0;
-/// An arm gets at most this multiple of its share of the ready nodes.
-const SHARE_LIMIT: f64 = 1.1;
-/// The most picks that an arm may be behind or ahead of its share.
-const MOST_DUE: f64 = 3.0;
+/// An arm's most, against its share of the ready nodes, and the most picks it may be behind or ahead.
+const SHARE_LIMIT: [f64; 2] = [1.1, 3.0];
 /// A node counts for neither arm's payoff before this age.
-const YOUNG: Duration = Duration::from_secs(5);
-/// From a stage's machines running to the vote on, if nothing leans against the build.
-const ON_WAIT: Duration = Duration::from_millis(2500);
-/// The platform takes a stage as begun this long after its launch at the latest.
-const STAGE_LATEST: Duration = Duration::from_secs(9);
+const YOUNG: Duration = ms(5000);
+/// From a stage's machines running to the vote on, if nothing leans against the build; and from a stage's
+/// launch to when the platform takes it as begun at the latest.
+const ON_WAIT: Duration = ms(2500);
+const STAGE_LATEST: Duration = ms(9000);
 /// Records are halved this often, so that trouble which starts late shows.
-const HALVE: Duration = Duration::from_secs(5);
+const HALVE: Duration = ms(5000);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
 /// late or slow on trial; late or slow when alone, with no older arm beside it.
-const PONDER: [Duration; 3] = [Duration::from_millis(800), Duration::from_secs(3), Duration::from_secs(8)];
-/// The part of the older arm's answers that counts as brisk in calm times, and how far it falls under strain.
+const PONDER: [Duration; 3] = [ms(800), ms(3000), ms(8000)];
+/// The part of the older arm's answers that is brisk in calm times, how far it falls under strain, and how
+/// much it must rise without the build.
 const CALM: f64 = 0.75;
 const STRAINED: f64 = 0.03;
+const EASED: f64 = 0.02;
 /// The part of the fleet that must be ready and sound for the test to tell anything.
 const WHOLE: f64 = 0.85;
-/// How much brisker the older arm must be without the build.
-const EASED: f64 = 0.02;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
-const ABSTAIN: [Duration; 3] =
-    [Duration::from_millis(4000), Duration::from_millis(1500), Duration::from_secs(5)];
+const ABSTAIN: [Duration; 3] = [ms(4000), ms(1500), ms(5000)];
 /// Peers' counts are told this often, and say nothing when older than that.
-const TELL: Duration = Duration::from_millis(1000);
-const FRESH: Duration = Duration::from_millis(3200);
-/// So many marshals log their votes: hundreds would say the same.
-const LOUD: usize = 8;
-/// The most marshals in a ring that tell one another directly.
-const RING: f64 = 8.0;
+const TELL: Duration = ms(1000);
+const FRESH: Duration = ms(3200);
+/// The most marshals that tell one another directly, and so many log their votes: more would say the same.
+const RING: usize = 8;
 /// Part of the guessed capacity of a cold node that the marshals together may spend.
 const COLD_PART: f64 = 1.0;
 /// The served rate is averaged over this many seconds.
 const SERVED_OVER: f64 = 3.0;
 /// Repeats of picks that may have run: earned per RPC taken, and the most in store.
 const RETRIES: [f64; 2] = [0.2, 20.0];
-/// How much of its own kind and zone a node's pace takes at first, in answers, and the most own answers held.
+/// The part of the soft deadline that an answer is taken to need before any has come.
+const FIRST_GUESS: f64 = 1.0 / 6.0;
+/// How many answers its kind and zone weigh in a node's pace, and its own at the most.
 const MET: [f64; 2] = [6.0, 12.0];
-/// A marshal uses as many nodes as its RPCs meet this often while an idle connection is kept, and no fewer than
-/// the second figure; its own rate is averaged over the third, in seconds.
+/// Each node used should be met this often while an idle connection is kept; the fewest nodes used; seconds
+/// over which the rate of RPCs is averaged.
 const KEPT: [f64; 3] = [5.0, 6.0, 10.0];
-/// The fleet is crowded when even the quicker quarter of the latest answers took this part of their soft
-/// deadline: a queue at all nodes delays all alike, a far zone, a slow method or tenant, ill nodes only some.
+/// The fleet is crowded when even this part of the latest answers, the quickest, took this part of their soft
+/// deadline: a queue at all nodes delays all alike; a far zone, a slow method or tenant, ill nodes only some.
 const CROWDED: [f64; 2] = [0.25, 0.25];
 const LATEST: f64 = 24.0;
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
@@ -87,17 +88,6 @@
     a.n.min(b.n) >= LEAST_SAMPLE && a.mean() + eps(a) < b.mean() - eps(b) - margin
 }
 
-/// Bins of times by half powers of two, the last but two ending at the soft deadline.
-fn bin(part: f64) -> usize {
-    (part.max(1e-9).log2() * 2.0 + 13.0).clamp(0.0, 15.0) as usize
-}
-
-/// The least part of its capacity that a node has at some age.
-fn present(law: &Charter, age: Duration) -> f64 {
-    let grown = age.as_secs_f64() / law.warming.as_secs_f64().max(0.001);
-    law.cold_from + (1.0 - law.cold_from) * grown.min(1.0)
-}
-
 // ---- node ------------------------------------------------------------------------------------------------
 
 impl Node {
@@ -108,7 +98,7 @@
                 if (entry.started, entry.build) != (self.card.entry.started, self.card.entry.build) {
                     // A new process: what the earlier one did says nothing of it.
                     let out = std::mem::take(&mut self.out);
-                    *self = Node { out, took: cx.law.least_soft / 6.0, ..Node::default() };
+                    *self = Node { out, took: FIRST_GUESS * cx.law.least_soft, ..Node::default() };
                 }
                 (self.card.ready, self.card.entry) = (entry.readiness == Readiness::Ready, entry);
             }
@@ -240,21 +230,13 @@
         if age >= law.warming + law.fall_window {
             return true;
         }
-        let least = present(law, age.saturating_sub(law.fall_window));
+        let least = law.present(age.saturating_sub(law.fall_window));
         let budget = COLD_PART * law.fall_budget * least * self.served * power(entry);
         let window = (age.as_secs_f64() / law.fall_window.as_secs_f64().max(0.001) + law.phase) as u64;
         let lot = chance(law.seed, 1 << 63 | (entry.node as u64) << 32 | window) as f64 / u64::MAX as f64;
         let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window);
         used + 1.0 <= (budget + lot).floor()
     }
-
-    /// Books a send that `admits` has let through.
-    fn book(&mut self, cx: &Cx, method: usize, entry: &NodeEntry) {
-        // Whatever the build's standing now: it may be told to be on trial a moment later.
-        let slot = cx.law.duties[method].slot;
-        self.sent.entry((entry.build, slot)).or_default().push_back(cx.now);
-        self.cold_sent.entry(entry.node).or_default().push_back(cx.now);
-    }
 }
 
 // ---- front: RPCs, picks, waits ---------------------------------------------------------------------------
@@ -286,15 +268,16 @@
             }
             Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
                 self.oks += f64::from(u8::from(outcome == Outcome::Ok));
-                let build = self.cards[node].entry.build;
-                let entry = self.cards[node].entry;
-                let lost = matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::NoConnection);
-                if lost || outcome == Outcome::Ok {
-                    // What went unanswered is no better than an answer at the soft deadline.
-                    let took = took.as_secs_f64().max(if lost { cx.law.least_soft } else { 0.0 });
-                    let usual =
-                        self.groups.entry((entry.kind, entry.zone)).or_insert(cx.law.least_soft / 6.0);
-                    *usual += 0.1 * (took - *usual);
+                let NodeEntry { build, kind, zone, .. } = self.cards[node].entry;
+                // What went unanswered is no better than an answer at the soft deadline.
+                let least = match outcome {
+                    Outcome::Ok => 0.0,
+                    Outcome::Timeout | Outcome::Reset | Outcome::NoConnection => cx.law.least_soft,
+                    _ => f64::INFINITY,
+                };
+                if least.is_finite() {
+                    let usual = self.groups.entry((kind, zone)).or_insert(FIRST_GUESS * cx.law.least_soft);
+                    *usual += 0.1 * (took.as_secs_f64().max(least) - *usual);
                 }
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
                     if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
@@ -350,8 +333,8 @@
         self.rpcs.values().filter(held).count() as f64
     }
 
-    /// A limit on all own picks in flight, besides each node's: with many marshals a node's queue grows though
-    /// each has but one pick there. Never below this marshal's share of the fleet's power, at which no node
+    /// A limit on all own picks in flight: with many marshals a node's queue grows though each has but one pick
+    /// there. Never below this marshal's share of the fleet's power, at which no node
     /// need idle. Guards against bursts and overload, above all where a time-out stops no work.
     fn make_room(&mut self, took: Duration, cx: &Cx) {
         if self.lags.times.iter().sum::<f64>() > LATEST {
@@ -418,30 +401,15 @@
         }
     }
 
-    /// The ready nodes of each arm in this marshal's own order, and how many rest.
-    fn muster(&mut self, cx: &Cx) {
-        let ready = |c: &&Card| c.ready;
-        for (arm, list) in self.arms.iter_mut().enumerate() {
-            let mine =
-                self.cards.iter().filter(ready).filter(|c| (c.entry.build == self.newest) == (arm == 1));
-            *list = mine.map(|c| c.entry.node).collect();
-            list.sort_by_key(|&node| chance(cx.law.seed, 1 << 62 | node as u64));
-        }
-        self.resting = self.cards.iter().filter(ready).filter(|c| c.resting).count();
-        // Cold nodes count for what they can do: where a stage swaps much of the fleet, the rest bears the load.
-        let weigh =
-            |n: &NodeIx| present(&cx.law, cx.age(&self.cards[*n].entry)) * power(&self.cards[*n].entry);
-        self.weights = [0, 1].map(|arm: usize| self.arms[arm].iter().map(weigh).sum());
-        self.fair = ((self.weights[0] + self.weights[1]) / cx.law.marshals).max(1.0);
-        self.stale = false;
-    }
-
     /// A node's pace; while this marshal has met it seldom, that of its kind and zone. In a large fleet a marshal
     /// has a few answers from each node, but many from slower machines or from beyond a far and lossy link.
     fn pace(&self, c: &Card, cx: &Cx) -> f64 {
-        let usual =
-            self.groups.get(&(c.entry.kind, c.entry.zone)).copied().unwrap_or(cx.law.least_soft / 6.0);
-        (MET[0] * usual + c.met * c.pace) / (MET[0] + c.met) / present(&cx.law, cx.age(&c.entry))
+        let usual = self
+            .groups
+            .get(&(c.entry.kind, c.entry.zone))
+            .copied()
+            .unwrap_or(FIRST_GUESS * cx.law.least_soft);
+        (MET[0] * usual + c.met * c.pace) / (MET[0] + c.met) / cx.law.present(cx.age(&c.entry))
     }
 
     /// A node for an RPC: of the arm of larger index within its limits, then of the other; wary of nodes that
@@ -455,7 +423,7 @@
         let share = new / if rehearsal { new.max(old) } else { new + old }.max(1e-9);
         let reach = (self.pulse[0] / self.pulse[1].max(1.0) * cx.law.kept / KEPT[0]).max(KEPT[1]);
         let most_rest = 5 * self.resting >= 4 * all;
-        let due = [SHARE_LIMIT * (1.0 - share), SHARE_LIMIT * share];
+        let due = [SHARE_LIMIT[0] * (1.0 - share), SHARE_LIMIT[0] * share];
         let within = [self.due[0] + due[0] >= 1.0, self.due[1] + due[1] >= 1.0 && !self.starved];
         // A pick that failed on the newest build is repeated on an older one first.
         let first = usize::from(self.new_first && !r.burnt && !self.starved);
@@ -506,7 +474,10 @@
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.gate.book(cx, r.method, &entry);
         // What an arm has not used, or used beyond its share for want of the other, is soon forgotten.
-        self.due.iter_mut().zip(due).for_each(|(d, share)| *d = (*d + share).clamp(-MOST_DUE, MOST_DUE));
+        self.due
+            .iter_mut()
+            .zip(due)
+            .for_each(|(d, share)| *d = (*d + share).clamp(-SHARE_LIMIT[1], SHARE_LIMIT[1]));
         self.due[arm] -= 1.0;
         // A first pick that may be repeated leaves room for another; at a slow node, waiting is better.
         let (left, duty) = (r.until.saturating_sub(cx.now), &cx.law.duties[r.method]);
@@ -824,7 +795,7 @@
         {
             return;
         }
-        if self.cast.is_none_or(|(cast, ..)| cast != wish) && cx.law.marshal < LOUD {
+        if self.cast.is_none_or(|(cast, ..)| cast != wish) && cx.law.marshal < RING {
             let why = found.or(worse(0.4)).map_or(String::new(), |q| format!(", question {q}"));
             cx.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}{why}")));
         }
@@ -885,11 +856,11 @@
 impl Marshal {
     pub fn new(terms: &RolloutTerms) -> Self {
         let law = Charter::new(terms);
-        let usual = law.duties.iter().map(|d| d.soft / 6.0).collect();
+        let usual = law.duties.iter().map(|d| FIRST_GUESS * d.soft).collect();
         let front = Front { usual, new_first: true, retries: RETRIES[1], room: f64::MAX, ..Front::default() };
         let past = vec![Ledger::default(); law.kinds * law.duties.len()];
         // Rings of rings: as few levels as let each marshal tell few others, at any number of marshals.
-        let levels = ((law.marshals.ln() / RING.ln()).ceil()).max(1.0);
+        let levels = ((law.marshals.ln() / (RING as f64).ln()).ceil()).max(1.0);
         let ring = (law.marshals.powf(1.0 / levels) + 1e-6) as usize;
         let judge = Judge { before: past.clone(), past, ring, levels: levels as u32, ..Judge::default() };
         let (nodes, scout, beat_at) = (Vec::new(), Scout::default(), Duration::ZERO);
--- a/src/state.rs
+++ b/src/state.rs
@@ -128,6 +128,12 @@
             marshal: terms.marshal,
         }
     }
+
+    /// The least part of its capacity that a node has at some age.
+    pub fn present(&self, age: Duration) -> f64 {
+        let grown = age.as_secs_f64() / self.warming.as_secs_f64().max(0.001);
+        self.cold_from + (1.0 - self.cold_from) * grown.min(1.0)
+    }
 }
 
 pub const FRONT: usize = 0;
@@ -327,6 +333,11 @@
     }
 }
 
+/// Bins of times by half powers of two, the last but two ending at the soft deadline.
+pub fn bin(part: f64) -> usize {
+    (part.max(1e-9).log2() * 2.0 + 13.0).clamp(0.0, 15.0) as usize
+}
+
 #[derive(Clone, Default)]
 pub struct Book {
     pub entry: NodeEntry,
@@ -393,6 +404,12 @@
 }
 
 impl Gate {
+    /// Books a send, whatever the build's standing: it may be told to be on trial a moment later.
+    pub fn book(&mut self, cx: &Cx, method: usize, entry: &NodeEntry) {
+        let slot = cx.law.duties[method].slot;
+        self.sent.entry((entry.build, slot)).or_default().push_back(cx.now);
+        self.cold_sent.entry(entry.node).or_default().push_back(cx.now);
+    }
     /// Times before this are no longer asked for.
     pub fn forget(&mut self, before: Duration) {
         let all = self.taken.values_mut().chain(self.sent.values_mut()).chain(self.cold_sent.values_mut());
@@ -436,6 +453,25 @@
     pub draws: u64,
 }
 
+impl Front {
+    /// Lists the ready nodes of each arm in this marshal's own order, and what they can do at present.
+    pub fn muster(&mut self, cx: &Cx) {
+        let ready = |c: &&Card| c.ready;
+        for (arm, list) in self.arms.iter_mut().enumerate() {
+            let mine =
+                self.cards.iter().filter(ready).filter(|c| (c.entry.build == self.newest) == (arm == 1));
+            *list = mine.map(|c| c.entry.node).collect();
+            list.sort_by_key(|&node| chance(cx.law.seed, 1 << 62 | node as u64));
+        }
+        self.resting = self.cards.iter().filter(ready).filter(|c| c.resting).count();
+        let entry = |node: &NodeIx| &self.cards[*node].entry;
+        let weigh = |node| cx.law.present(cx.age(entry(node))) * power(entry(node));
+        self.weights = [0, 1].map(|arm: usize| self.arms[arm].iter().map(weigh).sum());
+        self.fair = ((self.weights[0] + self.weights[1]) / cx.law.marshals).max(1.0);
+        self.stale = false;
+    }
+}
+
 #[derive(Default)]
 pub struct Judge {
     pub books: Vec<Book>,
