--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,10 +9,6 @@
 use crate::port::*;
 use crate::state::*;
 
-const fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
 /// Waits and silences are looked at every beat, verdicts and idle marshals every look.
 const BEAT: Duration = ms(20);
 const LOOK: Duration = ms(100);
@@ -21,25 +17,22 @@
 const LEAST_SAMPLE: f64 = 10.0;
 /// An arm's most, against its share of the ready nodes, and the most picks it may be behind or ahead.
 const SHARE_LIMIT: [f64; 2] = [1.1, 3.0];
-/// A node counts for neither arm's payoff before this age.
+/// A node counts for neither arm's payoff before this age; records are halved this often.
 const YOUNG: Duration = ms(5000);
-/// From a stage's machines running to the vote on, if nothing leans against the build; and from a stage's
-/// launch to when the platform takes it as begun at the latest.
+const HALVE: Duration = ms(5000);
+/// Vote on after this from a stage's machines running; a stage counts as begun this long after its launch.
 const ON_WAIT: Duration = ms(2500);
 const STAGE_LATEST: Duration = ms(9000);
-/// Records are halved this often, so that trouble which starts late shows.
-const HALVE: Duration = ms(5000);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
 /// late or slow on trial; late or slow when alone, with no older arm beside it.
 const PONDER: [Duration; 3] = [ms(800), ms(3000), ms(8000)];
-/// The part of the older arm's answers that is brisk in calm times, how far it falls under strain, and how
-/// much it must rise without the build.
+/// The part of the older arm's answers that is brisk when calm, how far it falls under strain, how much it
+/// must rise without the build, and the part of the fleet that must be sound for the test to tell anything.
 const CALM: f64 = 0.75;
 const STRAINED: f64 = 0.03;
 const EASED: f64 = 0.02;
-/// The part of the fleet that must be ready and sound for the test to tell anything.
 const WHOLE: f64 = 0.85;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
 const ABSTAIN: [Duration; 3] = [ms(4000), ms(1500), ms(5000)];
@@ -81,8 +74,8 @@
     t.mean() + if t.n < LEAST_SAMPLE { f64::INFINITY } else { ALPHA * width(t.n, 0.25) }
 }
 
-/// Arm `a` lies below arm `b` by more than the margin and the given part of both widths. σ² is what outcomes
-/// would have if the new build paid as the older one does, plus one outcome's doubt.
+/// Arm `a` lies below `b` by more than the margin and the given part of both widths. σ² is what outcomes would
+/// have if the new build paid as the older one does, plus one outcome's doubt.
 fn below(a: Tally, b: Tally, margin: f64, part: f64, spread: f64) -> bool {
     let eps = |t: Tally| part * width(t.n, (spread + 1.0 / t.n).min(0.25));
     a.n.min(b.n) >= LEAST_SAMPLE && a.mean() + eps(a) < b.mean() - eps(b) - margin
@@ -124,18 +117,11 @@
         if self.card != shown {
             cx.show(self.card);
         }
-        // Idle nodes cost nothing, however large the fleet.
-        let node = self.card.entry.node;
-        let _ = if self.out.is_empty() && !self.card.resting {
-            cx.awake.remove(&node)
-        } else {
-            cx.awake.insert(node)
-        };
+        cx.rouse(self.card.entry.node, !self.out.is_empty() || self.card.resting);
     }
 
-    /// Health from own outcomes alone: failures rest the node for growing spans, then it is tried gently.
-    /// Guards against dead, silent and quickly failing nodes alike; hurts when a build fails everywhere, for
-    /// which the front looks past rests once most nodes rest.
+    /// Health from own outcomes: failures rest the node for growing spans, then it is tried gently. Guards
+    /// against dead, silent and quickly failing nodes; once most nodes rest, the front looks past it.
     fn learn(&mut self, now: Duration, outcome: Outcome, took: f64) {
         let failed = match outcome {
             Outcome::Ok => 0.0,
@@ -221,10 +207,8 @@
         used + 1.0 <= rule.free + cap * taken
     }
 
-    /// Peers are taken to send as this marshal does, in proportion to what each has had answered; that sum is
-    /// below what the fleet can do, whatever the fleet's speed is. A budget between whole RPCs is rounded by
-    /// lot, anew each window, whose start differs by marshal: hundreds of marshals with a small part of an RPC
-    /// each add up to the budget, not to one RPC each.
+    /// Peers are taken to send in proportion to what each has had answered: together below what the fleet can do.
+    /// Budgets between whole RPCs are rounded by lot each window, so that hundreds of marshals add up to them.
     fn warm_enough(&self, cx: &Cx, entry: &NodeEntry) -> bool {
         let (age, law) = (cx.age(entry), &cx.law);
         if age >= law.warming + law.fall_window {
@@ -269,15 +253,11 @@
             Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
                 self.oks += f64::from(u8::from(outcome == Outcome::Ok));
                 let NodeEntry { build, kind, zone, .. } = self.cards[node].entry;
-                // What went unanswered is no better than an answer at the soft deadline.
-                let least = match outcome {
-                    Outcome::Ok => 0.0,
-                    Outcome::Timeout | Outcome::Reset | Outcome::NoConnection => cx.law.least_soft,
-                    _ => f64::INFINITY,
-                };
-                if least.is_finite() {
+                let lost = matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::NoConnection);
+                if lost || outcome == Outcome::Ok {
+                    let took = took.as_secs_f64().max(if lost { cx.law.least_soft } else { 0.0 });
                     let usual = self.groups.entry((kind, zone)).or_insert(FIRST_GUESS * cx.law.least_soft);
-                    *usual += 0.1 * (took.as_secs_f64().max(least) - *usual);
+                    *usual += 0.1 * (took - *usual);
                 }
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
                     if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
@@ -333,9 +313,8 @@
         self.rpcs.values().filter(held).count() as f64
     }
 
-    /// A limit on all own picks in flight: with many marshals a node's queue grows though each has but one pick
-    /// there. Never below this marshal's share of the fleet's power, at which no node
-    /// need idle. Guards against bursts and overload, above all where a time-out stops no work.
+    /// Limits own picks in flight: with many marshals a node's queue grows though each has but one pick there.
+    /// Not below this marshal's part of the fleet's power. Guards against overload where time-outs stop no work.
     fn make_room(&mut self, took: Duration, cx: &Cx) {
         if self.lags.times.iter().sum::<f64>() > LATEST {
             self.lags.halve();
@@ -359,7 +338,7 @@
         self.rpcs.remove(&rpc);
     }
 
-    /// Those that cannot end in time are given up at once; then one waiting RPC is sent, and a note goes on.
+    /// Those that cannot end in time are given up at once; one that waits is sent, and a note goes on.
     fn pump(&mut self, cx: &mut Cx) {
         let late = |r: &Rpc| cx.now + secs(SPARE * self.usual[r.method]) > r.soft;
         let hopeless = |w: &&(Duration, RpcIx)| self.rpcs.get(&w.1).is_some_and(late);
@@ -371,7 +350,6 @@
         }
     }
 
-    /// Sends at once, or waits for a node with room.
     fn serve(&mut self, rpc: RpcIx, cx: &mut Cx) {
         if !self.waiting.is_empty() || !self.send(rpc, cx) {
             self.waiting.extend(self.rank(rpc, cx));
@@ -388,8 +366,8 @@
         self.forget(rpc, cx);
     }
 
-    /// Another pick only where there is time for it; those that may have run spend from a small store, so
-    /// that failing nodes or an overload are not answered with a storm of repeats.
+    /// Another pick only where there is time; those that may have run spend from a small store, so that failing
+    /// nodes or an overload are not answered with a storm of repeats.
     fn again(&mut self, rpc: RpcIx, never_ran: bool, cx: &mut Cx) {
         let (r, spent) = (&self.rpcs[&rpc], if never_ran { 0.0 } else { 1.0 });
         let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent;
@@ -401,23 +379,17 @@
         }
     }
 
-    /// A node's pace; while this marshal has met it seldom, that of its kind and zone. In a large fleet a marshal
-    /// has a few answers from each node, but many from slower machines or from beyond a far and lossy link.
+    /// A node's pace; while it was met seldom, that of its kind and zone: slower machines, a far or lossy link.
     fn pace(&self, c: &Card, cx: &Cx) -> f64 {
-        let usual = self
-            .groups
-            .get(&(c.entry.kind, c.entry.zone))
-            .copied()
-            .unwrap_or(FIRST_GUESS * cx.law.least_soft);
+        let usual = self.groups.get(&(c.entry.kind, c.entry.zone));
+        let usual = usual.copied().unwrap_or(FIRST_GUESS * cx.law.least_soft);
         (MET[0] * usual + c.met * c.pace) / (MET[0] + c.met) / cx.law.present(cx.age(&c.entry))
     }
 
-    /// A node for an RPC: of the arm of larger index within its limits, then of the other; wary of nodes that
-    /// failed it, rest or are being tried again, unless there is no other way.
+    /// A node of the arm of larger index within its limits, then of the other; wary of ill ones where it can be.
     fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, [f64; 2], NodeEntry)> {
         let all = self.arms[0].len() + self.arms[1].len();
-        // Rehearsal, where the earlier machines stay until the release: in the last stage each new node gets
-        // the load that it will have then, so that what fails only when busy fails before.
+        // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release.
         let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
         let [old, new] = self.weights;
         let share = new / if rehearsal { new.max(old) } else { new + old }.max(1e-9);
@@ -427,20 +399,19 @@
         let within = [self.due[0] + due[0] >= 1.0, self.due[1] + due[1] >= 1.0 && !self.starved];
         // A pick that failed on the newest build is repeated on an older one first.
         let first = usize::from(self.new_first && !r.burnt && !self.starved);
-        let orders = [(first, true), (1 - first, true), (first, false), (1 - first, false)];
+        let mut arms = [first, 1 - first];
+        arms.sort_by_key(|&arm| !within[arm]);
         for wary in [true, false] {
-            for (arm, _) in orders.into_iter().filter(|&(arm, limited)| within[arm] == limited) {
+            for arm in arms {
                 let fits = |c: &&Card| {
                     let unsure = c.in_flight > 0 || cx.law.duties[r.method].repeat == Repeat::NonIdempotent;
                     let failed = || r.picks.iter().any(|p| p.entry.node == c.entry.node);
                     let doubt = c.resting || (c.gentle && unsure) || failed();
                     (if wary { !doubt } else { !c.resting || most_rest }) && self.gate.admits(cx, r, c)
                 };
-                // Two random choices; where few fit, the walk from a random place finds one that does.
-                // They are drawn among the first of the marshal's own order of nodes; the rest are next.
+                // Two random choices among the first of this marshal's own order of nodes; the rest are next.
                 let list = &self.arms[arm];
-                let near =
-                    ((reach * list.len() as f64 / all as f64).ceil() as usize).clamp(2, list.len().max(2));
+                let near = (reach * list.len() as f64 / all as f64).ceil().max(2.0) as usize;
                 let near = near.min(list.len());
                 let draw = |nth: u64| {
                     let die = |i: u64| chance(cx.law.seed, self.draws + i) as usize % near.max(1);
@@ -457,7 +428,6 @@
         None
     }
 
-    /// Picks arm and node for an RPC and sends it, if the gate lets it through anywhere.
     fn send(&mut self, rpc: RpcIx, cx: &mut Cx) -> bool {
         if self.stale {
             self.muster(cx);
@@ -473,11 +443,8 @@
         let pace = self.pace(&self.cards[entry.node], cx);
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.gate.book(cx, r.method, &entry);
-        // What an arm has not used, or used beyond its share for want of the other, is soon forgotten.
-        self.due
-            .iter_mut()
-            .zip(due)
-            .for_each(|(d, share)| *d = (*d + share).clamp(-SHARE_LIMIT[1], SHARE_LIMIT[1]));
+        let most = SHARE_LIMIT[1];
+        self.due = [0, 1].map(|i| (self.due[i] + due[i]).clamp(-most, most));
         self.due[arm] -= 1.0;
         // A first pick that may be repeated leaves room for another; at a slow node, waiting is better.
         let (left, duty) = (r.until.saturating_sub(cx.now), &cx.law.duties[r.method]);
@@ -495,11 +462,9 @@
 
 // ---- judge: arms, verdicts, votes ------------------------------------------------------------------------
 
-/// Tells a build that slows old and new nodes alike, in step with its traffic, from a slow dependency, a
-/// burst or costly RPCs: while the older arm is slower than before the trial, the build gets nothing for a
-/// while. If the older arm mostly recovers and is slowed again with the build's return, the build is guilty;
-/// else it is cleared for this stage. Acts only on trial, while older nodes are the majority and the fleet
-/// is whole. Hurts by its delay.
+/// Tells a build that slows all nodes in step with its traffic from other strain: while the older arm is slower
+/// than before the trial, the build gets nothing for a while. If that arm mostly recovers and is slowed again
+/// with the build's return, the build is guilty; else cleared for the stage. Hurts by its delay.
 impl Strain {
     fn book(&mut self, at: Duration, one: Tally) {
         // What was sent before the build's return, and is slow, ends after it: not counted.
@@ -511,7 +476,7 @@
         }
     }
 
-    /// Whether the older arm is strained, and whether the build is found guilty of it.
+    /// Whether the build is held for strain, and whether it is guilty of it.
     fn weigh(
         &mut self, now: Duration, trial: (Build, usize), nodes: usize, [apart, lost]: [bool; 2],
         [off, on]: Pair,
@@ -520,12 +485,10 @@
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
         let strained = below(self.lately, calm, STRAINED, 0.5, var);
         if strained && nodes == 0 {
-            // Slowed before the build had any node here.
-            self.cleared = Some(trial);
+            self.cleared = Some(trial); // Slowed before the build had any node here.
         }
         if self.stage.replace(trial) != Some(trial) {
-            // Another share of the traffic: what was seen at the last one cannot be compared.
-            (self.since, self.relieved) = (None, None);
+            (self.since, self.relieved) = (None, None); // Another share of traffic: not comparable.
         }
         if self.cleared == Some(trial) {
             return (false, false);
@@ -557,7 +520,10 @@
 impl Judge {
     fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
-            Note::Card(card) => self.listed(&card, cx),
+            Note::Card(card) => {
+                self.listed(&card, cx);
+                self.newer(if card.ready { card.entry.build } else { 0 });
+            }
             Note::Booked { entry, method, at, outcome, took } => {
                 let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
                 let Some(book) = self.books.get_mut(entry.node).filter(same) else { return };
@@ -577,11 +543,8 @@
                 }
             }
             Note::Told(Event::Disputed { node, method, age }) => {
-                let before = |b: &&mut Book| cx.age(&b.entry) > age;
-                if let Some(book) = self.books.get_mut(node).filter(before) {
-                    let ledger = &mut book.methods[method];
-                    ledger.paid.good = (ledger.paid.good - 1.0).max(0.0);
-                    ledger.sound.good = (ledger.sound.good - 1.0).max(0.0);
+                if let Some(book) = self.books.get_mut(node).filter(|b| cx.age(&b.entry) > age) {
+                    book.methods[method].dispute();
                 }
             }
             Note::Told(Event::Sums { build, picks, failed, .. }) if build <= self.newest => {
@@ -592,16 +555,13 @@
                 let Some((build, abstains, level, pairs)) = read_pairs(&text) else { return };
                 // Only who sits a whole number of spans before this marshal sums what nobody else here does.
                 let (ring, back) = (self.ring, (cx.law.marshal + cx.law.crowd).checked_sub(from));
-                let (Some(span), Some(back)) = (ring.checked_pow(level), back.map(|b| b % cx.law.crowd))
-                else {
-                    return;
-                };
-                if level >= self.levels || back % span != 0 || !(1..ring).contains(&(back / span)) {
+                let back = back.map_or(0, |back| back % cx.law.crowd);
+                let span = if level < self.levels { ring.pow(level) } else { 0 };
+                if span == 0 || back % span != 0 || !(1..ring).contains(&(back / span)) {
                     return;
                 }
                 self.heard.insert((level, back / span), (cx.now, build, pairs));
-                // All abstain together, or the build's traffic does not cease.
-                self.strain.joined |= abstains && build == self.newest;
+                self.strain.joined |= abstains && build == self.newest; // All abstain together.
             }
             Note::Told(event) => {
                 let Some((news, reply)) = News::read(cx, &event) else { return };
@@ -619,29 +579,7 @@
         }
     }
 
-    fn listed(&mut self, card: &Card, cx: &Cx) {
-        if self.books.len() <= card.entry.node {
-            let blank = Book { methods: vec![Ledger::default(); cx.law.duties.len()], ..Book::default() };
-            self.books.resize(card.entry.node + 1, blank);
-        }
-        let book = &mut self.books[card.entry.node];
-        let fresh = (book.entry.build, book.entry.started) != (card.entry.build, card.entry.started);
-        if fresh || !card.ready {
-            // The old arm's record outlives its nodes.
-            if book.entry.build < self.newest {
-                book.add_to(&mut self.past);
-            }
-            book.methods.fill(Ledger::default());
-        }
-        (book.entry, book.ready, book.ill) = (card.entry, card.ready, card.gentle || card.resting);
-        book.entry.kind = card.entry.kind.min(cx.law.kinds - 1);
-        if card.ready {
-            self.newer(card.entry.build);
-        }
-    }
-
-    /// A newer build begins its trial: its counts start anew. What a released one did becomes the older arm's
-    /// record; what one that was sent back did is struck out.
+    /// A newer build begins its trial. A released one's record becomes the older arm's; one sent back is struck.
     fn newer(&mut self, build: Build) {
         if build <= self.newest {
             return;
@@ -659,10 +597,8 @@
         self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
-    /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble that
-    /// strikes a few nodes, whatever their build, convicts no build. Guards against quick errors, crashes and
-    /// wrong answers of single machines; it delays the verdict on a build whose failures are rare. Too few
-    /// nodes on trial to leave any out are held against the older arm's worst quarter instead.
+    /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble of a few
+    /// nodes convicts no build. Too few on trial are held against the older arm's worst quarter instead.
     fn arm(&self, new: bool, mut sums: Vec<Ledger>, few: bool) -> (Vec<Ledger>, usize) {
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
         let faults = |b| (Book::faults(b), b);
@@ -674,18 +610,13 @@
         (sums, books.len())
     }
 
-    fn ready(&self, new: bool) -> usize {
-        self.books.iter().filter(|b| b.ready && (b.entry.build == self.newest) == new).count()
-    }
-
-    /// Released, or nearly all of the fleet: then the build is watched against what the earlier one did
-    /// before the trial, for the older arm's last record shares whatever the build did to all.
+    /// Released, or nearly all of the fleet: then the build is watched against the record from before its trial.
     fn alone(&self) -> bool {
         let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
         released || 4 * self.ready(false) < self.ready(true)
     }
 
-    /// The questions asked of both arms: payoff, soundness by method, pace; and how many nodes are on trial.
+    /// Questions to both arms: payoff, soundness by method, pace, strain; and how many nodes are on trial.
     fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
         let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()], false);
         let old = match self.alone() {
@@ -709,18 +640,13 @@
         self.looked = cx.now;
         if cx.now >= self.halved + HALVE {
             self.halved = cx.now;
-            self.books.iter_mut().flat_map(|b| &mut b.methods).for_each(Ledger::halve);
-            // The record of an arm without nodes is kept.
-            if self.ready(false) > 0 {
-                self.past.iter_mut().for_each(Ledger::halve);
-            }
-            self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
+            self.halve();
         }
         let (mut pairs, nodes) = self.own_pairs(cx);
         let (new_first, starved) = (index(pairs[0][0]) >= index(pairs[0][1]), self.strain.since.is_some());
         cx.put(FRONT, Note::Favour { newest: self.newest, new_first, starved });
-        // Votes rest on own evidence, widened by fresh peers' and by the platform's sums. At level k a marshal tells
-        // ring - 1 others what ring^k marshals up to itself counted: each is counted once, whatever the fleet.
+        // Votes rest on own evidence, the platform's sums and fresh peers': at level k a marshal tells ring - 1
+        // others what ring^k marshals up to itself counted, so that each is counted once.
         let due = cx.now >= self.told + TELL || starved != std::mem::replace(&mut self.said, starved);
         let tell = cx.law.peers && due && self.before.iter().any(|l| l.paid.n > 0.0);
         for level in 0..self.levels {
@@ -743,11 +669,9 @@
     }
 
     fn vote(&mut self, mut pairs: Vec<Pair>, nodes: usize, cx: &mut Cx) {
-        let Some(news) = self.news.filter(|n| n.build == self.newest) else { return };
+        let live = |n: &News| matches!(n.course, Course::Released | Course::OnTrial);
+        let Some(news) = self.news.filter(|n| n.build == self.newest && live(n)) else { return };
         let released = news.course == Course::Released;
-        if !released && news.course != Course::OnTrial {
-            return;
-        }
         // Questions in order: soundness by method, soundness of all, payoff, pace; with margin and variance.
         let (mut sound, payoff) = (Pair::default(), pairs.remove(0));
         let (strain, pace) = (pairs.pop().unwrap_or_default(), pairs.pop().unwrap_or_default());
@@ -777,22 +701,25 @@
         let verdict = match found.or(worse(0.4)) {
             Some(_) if guilty => Verdict::Back,
             // A vote on is taken back while the evidence leans against the build.
-            Some(_) => Verdict::None,
-            _ if held => Verdict::None,
+            lean if held || lean.is_some() => Verdict::None,
             _ if ripe && !released && cx.law.by_votes => Verdict::On,
             _ => return,
         };
         let (stage, build, gap) = (news.stage, news.build, secs((2.0 * cx.law.vote_gap).max(0.3)));
         let wish = (verdict, stage, build);
-        let pause = match self.cast {
-            Some((cast, _, true)) if cast == wish => cx.law.vote_life.mul_f64(0.6),
-            Some((cast, _, false)) if cast == wish => cx.law.vote_wait.max(gap),
-            _ => gap,
+        let pause = match self.cast.filter(|c| c.0 == wish) {
+            Some((.., counts)) => {
+                if counts {
+                    cx.law.vote_life.mul_f64(0.6)
+                } else {
+                    cx.law.vote_wait.max(gap)
+                }
+            }
+            None => gap,
         };
-        let soon = self.cast.is_some_and(|(_, at, _)| cx.now < at + pause);
-        if soon
-            || (verdict == Verdict::None && self.cast.is_none_or(|(c, ..)| c != (Verdict::On, stage, build)))
-        {
+        let idle =
+            verdict == Verdict::None && self.cast.is_none_or(|(c, ..)| c != (Verdict::On, stage, build));
+        if idle || self.cast.is_some_and(|(_, at, _)| cx.now < at + pause) {
             return;
         }
         if self.cast.is_none_or(|(cast, ..)| cast != wish) && cx.law.marshal < RING {
@@ -811,9 +738,10 @@
         let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
         let due = (cx.law.shares.get(news.stage)? * self.places).round().max(1.0);
         let all = self.ready(true) as f64 >= due;
-        let last =
-            trial.filter_map(|b| b.entry.started.filter(|_| all)).max().map(|at| at.max(news.launched));
-        let at = last.or((cx.now >= news.launched + STAGE_LATEST).then_some(cx.now))?;
+        let last = trial.filter_map(|b| b.entry.started.filter(|_| all)).max();
+        let at = last
+            .map(|at| at.max(news.launched))
+            .or((cx.now >= news.launched + STAGE_LATEST).then_some(cx.now))?;
         self.begun = Some((news.build, news.stage, at));
         Some(at)
     }
@@ -824,17 +752,17 @@
 impl Scout {
     fn act(&mut self, note: Note, cx: &mut Cx) {
         let Some(pause) = cx.law.ask_pause else { return };
+        let wait = |s: f64| secs(s).min(cx.law.ask_within / 2);
         match note {
             Note::Told(Event::Nodes { scope: Scope::Failed, .. }) => {
                 (self.subscribed, self.failures) = (false, (self.failures + 1).min(3));
-                self.ask_at =
-                    cx.now + secs(0.4 * pause * 2f64.powi(self.failures)).min(cx.law.ask_within / 2);
+                self.ask_at = cx.now + wait(0.4 * pause * 2f64.powi(self.failures));
             }
-            Note::Told(Event::Nodes { scope: Scope::Full | Scope::Delta, .. }) => {
+            Note::Told(Event::Nodes { scope, .. }) if scope != Scope::Cached => {
                 (self.subscribed, self.failures) = (true, 0);
             }
             Note::Beat if !self.subscribed && cx.now >= self.ask_at => {
-                self.ask_at = cx.now + secs(4.0 * pause).min(cx.law.ask_within / 2);
+                self.ask_at = cx.now + wait(4.0 * pause);
                 cx.out.push(Action::Subscribe(true));
             }
             _ => {}
@@ -873,23 +801,21 @@
             self.cx.sort(event);
             self.settle();
         }
-        if now >= self.beat_at {
+        let due = now >= self.beat_at;
+        if due {
             let awake = self.cx.awake.iter().map(|node| NODES + node).chain([FRONT, JUDGE, SCOUT]);
             awake.collect::<Vec<_>>().into_iter().for_each(|to| self.cx.put(to, Note::Beat));
             self.settle();
-            self.beat_at = now + LOOK;
-            self.cx.out.push(Action::Wake { after: LOOK, tag: 0 });
         }
-        // Waits and silences want a finer beat.
         let idle = self.front.rpcs.is_empty() && self.cx.awake.is_empty();
-        if !idle && self.beat_at > now + BEAT {
-            self.beat_at = now + BEAT;
-            self.cx.out.push(Action::Wake { after: BEAT, tag: 0 });
+        let next = if idle { LOOK } else { BEAT };
+        if due || self.beat_at > now + next {
+            self.beat_at = now + next;
+            self.cx.out.push(Action::Wake { after: next, tag: 0 });
         }
         std::mem::take(&mut self.cx.out)
     }
 
-    /// Empties the inboxes, one note at a time: nodes, then scout, judge and front.
     fn settle(&mut self) {
         self.nodes.resize_with(self.cx.boxes.len() - NODES, Node::default);
         while let Some((to, note)) = self.cx.next() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -198,6 +198,14 @@
         self.full.insert(FRONT);
         self.put(JUDGE, Note::Card(card));
     }
+    /// Nodes that wait for something get beats; idle ones cost nothing, however large the fleet.
+    pub fn rouse(&mut self, node: NodeIx, awake: bool) {
+        if awake {
+            self.awake.insert(node);
+        } else {
+            self.awake.remove(&node);
+        }
+    }
     /// Puts an event into the inboxes that it concerns.
     pub fn sort(&mut self, event: Event) {
         let to = match &event {
@@ -327,6 +335,11 @@
     pub fn upto(&self, edge: usize) -> Tally {
         Tally { n: self.times.iter().sum(), good: self.times[..=edge].iter().sum() }
     }
+    /// An answer was found wrong.
+    pub fn dispute(&mut self) {
+        self.paid.good = (self.paid.good - 1.0).max(0.0);
+        self.sound.good = (self.sound.good - 1.0).max(0.0);
+    }
     pub fn halve(&mut self) {
         let whole = *self;
         self.add(&whole, -0.5);
@@ -500,6 +513,41 @@
     pub looked: Duration,
 }
 
+impl Judge {
+    /// Files a node as it shows itself now.
+    pub fn listed(&mut self, card: &Card, cx: &Cx) {
+        if self.books.len() <= card.entry.node {
+            let blank = Book { methods: vec![Ledger::default(); cx.law.duties.len()], ..Book::default() };
+            self.books.resize(card.entry.node + 1, blank);
+        }
+        let book = &mut self.books[card.entry.node];
+        let fresh = (book.entry.build, book.entry.started) != (card.entry.build, card.entry.started);
+        if fresh || !card.ready {
+            // The old arm's record outlives its nodes.
+            if book.entry.build < self.newest {
+                book.add_to(&mut self.past);
+            }
+            book.methods.fill(Ledger::default());
+        }
+        (book.entry, book.ready, book.ill) = (card.entry, card.ready, card.gentle || card.resting);
+        book.entry.kind = card.entry.kind.min(cx.law.kinds - 1);
+    }
+
+    /// Halves all records, but for that of an arm without nodes.
+    pub fn halve(&mut self) {
+        self.books.iter_mut().flat_map(|b| &mut b.methods).for_each(Ledger::halve);
+        if self.ready(false) > 0 {
+            self.past.iter_mut().for_each(Ledger::halve);
+        }
+        self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
+    }
+
+    /// How many nodes of the newest build, or of older ones, are ready.
+    pub fn ready(&self, new: bool) -> usize {
+        self.books.iter().filter(|b| b.ready && (b.entry.build == self.newest) == new).count()
+    }
+}
+
 #[derive(Default)]
 pub struct Scout {
     pub subscribed: bool,
@@ -530,6 +578,10 @@
     hasher.finish()
 }
 
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
 pub fn secs(s: f64) -> Duration {
     Duration::from_secs_f64(s.max(0.0))
 }
