--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,28 +36,26 @@
 const WHOLE: f64 = 0.85;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
 const ABSTAIN: [Duration; 3] = [ms(4000), ms(1500), ms(5000)];
-/// Peers' counts are told this often, and say nothing when older than that.
-const TELL: Duration = ms(1000);
-const FRESH: Duration = ms(3200);
+/// Peers' counts are told this often, and say nothing when older than the second figure.
+const TELL: [Duration; 2] = [ms(1000), ms(3200)];
 /// The most marshals that tell one another directly, and so many log their votes: more would say the same.
 const RING: usize = 8;
-/// Part of the guessed capacity of a cold node that the marshals together may spend.
-const COLD_PART: f64 = 1.0;
 /// The served rate is averaged over this many seconds.
 const SERVED_OVER: f64 = 3.0;
 /// Repeats of picks that may have run: earned per RPC taken, and the most in store.
 const RETRIES: [f64; 2] = [0.2, 20.0];
 /// The part of the soft deadline that an answer is taken to need before any has come.
 const FIRST_GUESS: f64 = 1.0 / 6.0;
+/// A pick that times out before this part of the soft deadline was cut short by its client.
+const HASTY: f64 = 0.5;
 /// How many answers its kind and zone weigh in a node's pace, and its own at the most.
 const MET: [f64; 2] = [6.0, 12.0];
 /// Each node used should be met this often while an idle connection is kept; the fewest nodes used; seconds
 /// over which the rate of RPCs is averaged.
 const KEPT: [f64; 3] = [5.0, 6.0, 10.0];
 /// The fleet is crowded when even this part of the latest answers, the quickest, took this part of their soft
-/// deadline: a queue at all nodes delays all alike; a far zone, a slow method or tenant, ill nodes only some.
-const CROWDED: [f64; 2] = [0.25, 0.25];
-const LATEST: f64 = 24.0;
+/// deadline (queues delay all alike, far zones, slow methods and ill nodes only some); how many those are.
+const CROWDED: [f64; 3] = [0.25, 0.25, 24.0];
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
 const HEAD_START: f64 = 0.2;
 /// An RPC is given up when fewer than this many usual times are left before its soft deadline.
@@ -74,8 +72,8 @@
     t.mean() + if t.n < LEAST_SAMPLE { f64::INFINITY } else { ALPHA * width(t.n, 0.25) }
 }
 
-/// Arm `a` lies below `b` by more than the margin and the given part of both widths. σ² is what outcomes would
-/// have if the new build paid as the older one does, plus one outcome's doubt.
+/// Arm `a` lies below `b` by more than the margin and the given part of both widths. σ² is what outcomes
+/// would have if the new build paid as the older one does, plus one outcome's doubt.
 fn below(a: Tally, b: Tally, margin: f64, part: f64, spread: f64) -> bool {
     let eps = |t: Tally| part * width(t.n, (spread + 1.0 / t.n).min(0.25));
     a.n.min(b.n) >= LEAST_SAMPLE && a.mean() + eps(a) < b.mean() - eps(b) - margin
@@ -99,6 +97,9 @@
             Note::Told(Event::PickEnded { rpc, pick, outcome, took, .. }) => {
                 if let Some(i) = self.out.iter().position(|o| (o.0, o.1) == (rpc, pick)) {
                     let ((.., method, at, entry), took) = (self.out.swap_remove(i), took.as_secs_f64());
+                    // A client that leaves early says nothing of node or build.
+                    let early = outcome == Outcome::Timeout && took < HASTY * cx.law.duties[method].soft;
+                    let outcome = if early { Outcome::Cancelled } else { outcome };
                     self.learn(cx.now, outcome, took);
                     cx.put(JUDGE, Note::Booked { entry, method, at, outcome, took });
                 }
@@ -207,15 +208,15 @@
         used + 1.0 <= rule.free + cap * taken
     }
 
-    /// Peers are taken to send in proportion to what each has had answered: together below what the fleet can do.
-    /// Budgets between whole RPCs are rounded by lot each window, so that hundreds of marshals add up to them.
+    /// Peers are taken to send in proportion to what each has had answered: less than the fleet can do.
+    /// Budgets between whole RPCs are rounded by lot each window: hundreds of marshals add up to them.
     fn warm_enough(&self, cx: &Cx, entry: &NodeEntry) -> bool {
         let (age, law) = (cx.age(entry), &cx.law);
         if age >= law.warming + law.fall_window {
             return true;
         }
         let least = law.present(age.saturating_sub(law.fall_window));
-        let budget = COLD_PART * law.fall_budget * least * self.served * power(entry);
+        let budget = law.fall_budget * least * self.served * power(entry);
         let window = (age.as_secs_f64() / law.fall_window.as_secs_f64().max(0.001) + law.phase) as u64;
         let lot = chance(law.seed, 1 << 63 | (entry.node as u64) << 32 | window) as f64 / u64::MAX as f64;
         let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window);
@@ -228,12 +229,7 @@
 impl Front {
     fn act(&mut self, note: Note, cx: &mut Cx) {
         match note {
-            Note::Card(card) => {
-                let ix = card.entry.node;
-                self.cards.resize(self.cards.len().max(ix + 1), Card::default());
-                let old = std::mem::replace(&mut self.cards[ix], card);
-                self.stale |= (old.ready, old.resting, old.entry) != (card.ready, card.resting, card.entry);
-            }
+            Note::Card(card) => self.file(card),
             Note::Favour { newest, new_first, starved } => {
                 if self.newest != newest {
                     // Low-traffic marshals take turns: else all of them try a new build at once.
@@ -247,7 +243,8 @@
                 self.pulse[0] += 1.0;
                 self.retries = (self.retries + RETRIES[0]).min(RETRIES[1]);
                 let (soft, until) = (cx.now + secs(duty.soft).min(left), cx.now + left);
-                self.rpcs.insert(rpc, Rpc { method, key, soft, until, ..Rpc::default() });
+                let rank = soft.saturating_sub(secs(HEAD_START * duty.worth));
+                self.rpcs.insert(rpc, Rpc { method, key, soft, until, rank, ..Rpc::default() });
                 self.serve(rpc, cx);
             }
             Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
@@ -260,8 +257,9 @@
                     *usual += 0.1 * (took - *usual);
                 }
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
-                    if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
-                        self.lags.times[bin(took.as_secs_f64() / cx.law.duties[r.method].soft)] += 1.0;
+                    let part = took.as_secs_f64() / cx.law.duties[r.method].soft;
+                    if outcome == Outcome::Ok || outcome == Outcome::Timeout && part > HASTY {
+                        self.lags.times[bin(part)] += 1.0;
                     }
                     if outcome == Outcome::Ok {
                         self.usual[r.method] += 0.05 * (took.as_secs_f64() - self.usual[r.method]);
@@ -273,7 +271,7 @@
                     }
                     r.burnt |= build == self.newest;
                     if done {
-                        self.forget(rpc, cx);
+                        self.forget(rpc);
                     } else if !r.streaming && r.picks.iter().all(|p| !p.out) {
                         self.again(rpc, outcome.never_ran(), cx);
                     }
@@ -284,15 +282,14 @@
             Note::Told(Event::StreamBegun { rpc, .. }) => {
                 self.rpcs.entry(rpc).and_modify(|r| r.streaming = true);
             }
-            Note::Told(Event::ClientLeft { rpc }) => self.forget(rpc, cx),
+            Note::Told(Event::ClientLeft { rpc }) => self.forget(rpc),
             Note::Told(event) => {
                 if let Some((news, VoteReply::Unasked | VoteReply::Counts)) = News::read(cx, &event) {
                     self.gate.news = Some(news);
                 }
             }
             Note::Beat if cx.now >= self.counted + LOOK => {
-                let warm = self.cards.iter().filter(|c| c.ready && cx.age(&c.entry) > YOUNG);
-                let power = warm.map(|c| power(&c.entry)).sum::<f64>().max(1.0);
+                let power = (self.weights[0] + self.weights[1]).max(1.0);
                 let step = (cx.now - self.counted).as_secs_f64().min(SERVED_OVER);
                 self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
                 (self.oks, self.counted, self.stale) = (0.0, cx.now, true);
@@ -307,19 +304,19 @@
         }
     }
 
-    /// Own picks in flight. One past its soft deadline may be lost, and holds no place any longer.
+    /// Own picks in flight. One past its soft deadline may be lost, and holds no place.
     fn out(&self, cx: &Cx) -> f64 {
         let held = |r: &&Rpc| cx.now < r.soft && r.picks.iter().any(|p| p.out);
         self.rpcs.values().filter(held).count() as f64
     }
 
-    /// Limits own picks in flight: with many marshals a node's queue grows though each has but one pick there.
-    /// Not below this marshal's part of the fleet's power. Guards against overload where time-outs stop no work.
+    /// Limits own picks in flight, not below this marshal's part of the fleet: with many marshals a node's
+    /// queue grows though each has but one pick there. Guards against overload where time-outs stop no work.
     fn make_room(&mut self, took: Duration, cx: &Cx) {
-        if self.lags.times.iter().sum::<f64>() > LATEST {
+        if self.lags.times.iter().sum::<f64>() > CROWDED[2] {
             self.lags.halve();
         }
-        let crowded = self.lags.edge(CROWDED[0], LATEST / 3.0).is_some_and(|e| e >= bin(CROWDED[1]));
+        let crowded = self.lags.edge(CROWDED[0], CROWDED[2] / 3.0).is_some_and(|e| e >= bin(CROWDED[1]));
         if crowded && cx.now > self.cut + took {
             (self.room, self.cut) = ((0.8 * self.out(cx)).max(self.fair), cx.now);
         } else if !crowded && self.out(cx) + 2.0 > self.room {
@@ -327,17 +324,6 @@
         }
     }
 
-    /// Place among those that wait: by soft deadline, earlier for more utility.
-    fn rank(&self, rpc: RpcIx, cx: &Cx) -> Option<(Duration, RpcIx)> {
-        let r = self.rpcs.get(&rpc)?;
-        Some((r.soft.saturating_sub(secs(HEAD_START * cx.law.duties[r.method].worth)), rpc))
-    }
-
-    fn forget(&mut self, rpc: RpcIx, cx: &Cx) {
-        self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
-        self.rpcs.remove(&rpc);
-    }
-
     /// Those that cannot end in time are given up at once; one that waits is sent, and a note goes on.
     fn pump(&mut self, cx: &mut Cx) {
         let late = |r: &Rpc| cx.now + secs(SPARE * self.usual[r.method]) > r.soft;
@@ -352,7 +338,7 @@
 
     fn serve(&mut self, rpc: RpcIx, cx: &mut Cx) {
         if !self.waiting.is_empty() || !self.send(rpc, cx) {
-            self.waiting.extend(self.rank(rpc, cx));
+            self.waiting.extend(self.rpcs.get(&rpc).map(|r| (r.rank, rpc)));
             cx.put(FRONT, Note::Pump);
         }
     }
@@ -363,11 +349,11 @@
         let retry_after = cx.law.retry_after.map(|most| come_back.min(most));
         let harmless = Gate::may_push_back(cx, r);
         cx.out.push(if harmless { Action::PushBack { rpc, retry_after } } else { Action::Abort { rpc } });
-        self.forget(rpc, cx);
+        self.forget(rpc);
     }
 
-    /// Another pick only where there is time; those that may have run spend from a small store, so that failing
-    /// nodes or an overload are not answered with a storm of repeats.
+    /// Another pick only where there is time; those that may have run spend from a small store, so that
+    /// failing nodes or an overload are not answered with a storm of repeats.
     fn again(&mut self, rpc: RpcIx, never_ran: bool, cx: &mut Cx) {
         let (r, spent) = (&self.rpcs[&rpc], if never_ran { 0.0 } else { 1.0 });
         let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent;
@@ -379,14 +365,14 @@
         }
     }
 
-    /// A node's pace; while it was met seldom, that of its kind and zone: slower machines, a far or lossy link.
+    /// A node's pace; while it was met seldom, that of its kind and zone (slow machines, lossy links).
     fn pace(&self, c: &Card, cx: &Cx) -> f64 {
         let usual = self.groups.get(&(c.entry.kind, c.entry.zone));
         let usual = usual.copied().unwrap_or(FIRST_GUESS * cx.law.least_soft);
         (MET[0] * usual + c.met * c.pace) / (MET[0] + c.met) / cx.law.present(cx.age(&c.entry))
     }
 
-    /// A node of the arm of larger index within its limits, then of the other; wary of ill ones where it can be.
+    /// A node of the arm of larger index within its limits, then of the other; wary of ill ones first.
     fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, [f64; 2], NodeEntry)> {
         let all = self.arms[0].len() + self.arms[1].len();
         // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release.
@@ -438,10 +424,10 @@
         let Some((arm, due, entry)) = self.rpcs.get(&rpc).and_then(|r| self.choose(r, cx)) else {
             return false;
         };
-        self.rank(rpc, cx).map(|rank| self.waiting.remove(&rank));
         self.draws += 8;
         let pace = self.pace(&self.cards[entry.node], cx);
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
+        self.waiting.remove(&(r.rank, rpc));
         self.gate.book(cx, r.method, &entry);
         let most = SHARE_LIMIT[1];
         self.due = [0, 1].map(|i| (self.due[i] + due[i]).clamp(-most, most));
@@ -462,9 +448,9 @@
 
 // ---- judge: arms, verdicts, votes ------------------------------------------------------------------------
 
-/// Tells a build that slows all nodes in step with its traffic from other strain: while the older arm is slower
-/// than before the trial, the build gets nothing for a while. If that arm mostly recovers and is slowed again
-/// with the build's return, the build is guilty; else cleared for the stage. Hurts by its delay.
+/// Tells a build that slows all nodes in step with its traffic from other strain: while the older arm is
+/// slower than before the trial, the build gets nothing for a while. If that arm mostly recovers and is
+/// slowed again with the build's return, the build is guilty; else cleared for the stage. Hurts by its delay.
 impl Strain {
     fn book(&mut self, at: Duration, one: Tally) {
         // What was sent before the build's return, and is slow, ends after it: not counted.
@@ -553,14 +539,8 @@
             }
             Note::Told(Event::Peer { from, text }) => {
                 let Some((build, abstains, level, pairs)) = read_pairs(&text) else { return };
-                // Only who sits a whole number of spans before this marshal sums what nobody else here does.
-                let (ring, back) = (self.ring, (cx.law.marshal + cx.law.crowd).checked_sub(from));
-                let back = back.map_or(0, |back| back % cx.law.crowd);
-                let span = if level < self.levels { ring.pow(level) } else { 0 };
-                if span == 0 || back % span != 0 || !(1..ring).contains(&(back / span)) {
-                    return;
-                }
-                self.heard.insert((level, back / span), (cx.now, build, pairs));
+                let Some(place) = self.place(from, level, &cx.law) else { return };
+                self.heard.insert((level, place), (cx.now, build, pairs));
                 self.strain.joined |= abstains && build == self.newest; // All abstain together.
             }
             Note::Told(event) => {
@@ -579,7 +559,8 @@
         }
     }
 
-    /// A newer build begins its trial. A released one's record becomes the older arm's; one sent back is struck.
+    /// A newer build begins its trial. A released one's record becomes the older arm's; one sent back is
+    /// struck.
     fn newer(&mut self, build: Build) {
         if build <= self.newest {
             return;
@@ -597,8 +578,8 @@
         self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
     }
 
-    /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble of a few
-    /// nodes convicts no build. Too few on trial are held against the older arm's worst quarter instead.
+    /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble of a
+    /// few nodes convicts no build. Too few on trial are held against the older arm's worst quarter instead.
     fn arm(&self, new: bool, mut sums: Vec<Ledger>, few: bool) -> (Vec<Ledger>, usize) {
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
         let faults = |b| (Book::faults(b), b);
@@ -610,7 +591,8 @@
         (sums, books.len())
     }
 
-    /// Released, or nearly all of the fleet: then the build is watched against the record from before its trial.
+    /// Released, or nearly all of the fleet: then the build is watched against the record from before its
+    /// trial.
     fn alone(&self) -> bool {
         let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
         released || 4 * self.ready(false) < self.ready(true)
@@ -645,9 +627,9 @@
         let (mut pairs, nodes) = self.own_pairs(cx);
         let (new_first, starved) = (index(pairs[0][0]) >= index(pairs[0][1]), self.strain.since.is_some());
         cx.put(FRONT, Note::Favour { newest: self.newest, new_first, starved });
-        // Votes rest on own evidence, the platform's sums and fresh peers': at level k a marshal tells ring - 1
-        // others what ring^k marshals up to itself counted, so that each is counted once.
-        let due = cx.now >= self.told + TELL || starved != std::mem::replace(&mut self.said, starved);
+        // Votes rest on own evidence, the platform's sums and fresh peers': at level k a marshal tells ring -
+        // 1 others what ring^k marshals up to itself counted, so that each is counted once.
+        let due = cx.now >= self.told + TELL[0] || starved != std::mem::replace(&mut self.said, starved);
         let tell = cx.law.peers && due && self.before.iter().any(|l| l.paid.n > 0.0);
         for level in 0..self.levels {
             let span = self.ring.pow(level);
@@ -658,7 +640,7 @@
                 cx.out.extend(to.map(|to| Action::Tell { to, text: text.clone() }));
             }
             for (at, build, theirs) in self.heard.range((level, 0)..(level + 1, 0)).map(|h| h.1) {
-                if *build == self.newest && cx.now < *at + FRESH && theirs.len() == pairs.len() {
+                if *build == self.newest && cx.now < *at + TELL[1] && theirs.len() == pairs.len() {
                     pairs.iter_mut().zip(theirs).for_each(|(a, b)| join(a, b));
                 }
             }
@@ -697,7 +679,7 @@
         let guilty = self.guilty.is_some_and(|since| cx.now >= since + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
         let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
-        let ripe = better || self.begun(news, cx).is_some_and(|at| cx.now >= at + wait);
+        let ripe = better || cx.now >= self.begun(news, cx) + wait;
         let verdict = match found.or(worse(0.4)) {
             Some(_) if guilty => Verdict::Back,
             // A vote on is taken back while the evidence leans against the build.
@@ -730,20 +712,13 @@
         cx.out.push(Action::Vote { verdict, stage, build });
     }
 
-    /// When the present stage's machines have all started, as far as the list tells.
-    fn begun(&mut self, news: News, cx: &Cx) -> Option<Duration> {
-        if let Some((.., at)) = self.begun.filter(|b| (b.0, b.1) == (news.build, news.stage)) {
-            return Some(at);
-        }
+    /// When the present stage's machines have all started, as far as the list tells, or must have.
+    fn begun(&self, news: News, cx: &Cx) -> Duration {
         let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
-        let due = (cx.law.shares.get(news.stage)? * self.places).round().max(1.0);
-        let all = self.ready(true) as f64 >= due;
-        let last = trial.filter_map(|b| b.entry.started.filter(|_| all)).max();
-        let at = last
-            .map(|at| at.max(news.launched))
-            .or((cx.now >= news.launched + STAGE_LATEST).then_some(cx.now))?;
-        self.begun = Some((news.build, news.stage, at));
-        Some(at)
+        let due = cx.law.shares.get(news.stage).map_or(1.0, |share| (share * self.places).round().max(1.0));
+        let last = trial.filter_map(|b| b.entry.started).max().filter(|_| self.ready(true) as f64 >= due);
+        let late = news.launched + STAGE_LATEST;
+        last.map_or(late, |at| at.clamp(news.launched, late))
     }
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -300,6 +300,8 @@
     /// By when an answer earns in full, and by when any answer is owed.
     pub soft: Duration,
     pub until: Duration,
+    /// Place among those that wait.
+    pub rank: Duration,
     pub picks: Vec<Pick>,
     pub streaming: bool,
     /// An earlier pick failed on the build on trial.
@@ -467,6 +469,14 @@
 }
 
 impl Front {
+    pub fn file(&mut self, card: Card) {
+        self.cards.resize(self.cards.len().max(card.entry.node + 1), Card::default());
+        let old = std::mem::replace(&mut self.cards[card.entry.node], card);
+        self.stale |= (old.ready, old.resting, old.entry) != (card.ready, card.resting, card.entry);
+    }
+    pub fn forget(&mut self, rpc: RpcIx) {
+        self.rpcs.remove(&rpc).map(|r| self.waiting.remove(&(r.rank, rpc)));
+    }
     /// Lists the ready nodes of each arm in this marshal's own order, and what they can do at present.
     pub fn muster(&mut self, cx: &Cx) {
         let ready = |c: &&Card| c.ready;
@@ -495,7 +505,6 @@
     pub newest: Build,
     pub places: f64,
     pub news: Option<News>,
-    pub begun: Option<(Build, usize, Duration)>,
     /// What peers summed, by level and place in the ring.
     pub heard: BTreeMap<(u32, usize), (Duration, Build, Vec<Pair>)>,
     pub ring: usize,
@@ -533,6 +542,15 @@
         book.entry.kind = card.entry.kind.min(cx.law.kinds - 1);
     }
 
+    /// Where in this marshal's ring of a level the sender sits; only who sits a whole number of spans before it
+    /// sums what nobody else there does.
+    pub fn place(&self, from: usize, level: u32, law: &Charter) -> Option<usize> {
+        let back = (law.marshal + law.crowd).checked_sub(from)? % law.crowd;
+        let span = self.ring.pow(level.min(self.levels));
+        let place = back / span;
+        (level < self.levels && back % span == 0 && (1..self.ring).contains(&place)).then_some(place)
+    }
+
     /// Halves all records, but for that of an arm without nodes.
     pub fn halve(&mut self) {
         self.books.iter_mut().flat_map(|b| &mut b.methods).for_each(Ledger::halve);
