Alone, lateness counts only once no node has come or gone for a while; told caps on the way back

Alone, the clock of lateness starts anew whenever a node comes or goes. A cold node's budget is kept while nothing can be sent. A build going back gets what the told cap allows.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -157,8 +157,7 @@
         if build > news.build {
             return Some((0, cx.law.exposure.first_cap));
         }
-        let cap = if news.course == Course::OnTrial { news.cap } else { 0.0 };
-        (build == news.build && news.course != Course::Released).then_some((news.stage, cap))
+        (build == news.build && news.course != Course::Released).then_some((news.stage, news.cap))
     }
 
     /// Rule 1 (time left), rule 2 (repeats), rule 3 (drains), rule 5 (exposure), rule 4 (cold).
@@ -291,7 +290,10 @@
             Note::Beat if cx.now >= self.counted + LOOK => {
                 let power = (self.weights[0] + self.weights[1]).max(1.0);
                 let step = (cx.now - self.counted).as_secs_f64().min(SERVED_OVER);
-                self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
+                // Where nothing could be sent, nothing was learnt: else cold nodes alone would stay barred for good.
+                if self.out(cx) + self.oks > 0.0 || !std::mem::take(&mut self.barred) {
+                    self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
+                }
                 (self.oks, self.counted, self.stale) = (0.0, cx.now, true);
                 self.pulse = self.pulse.map(|x| x * (1.0 - step / KEPT[2]));
                 self.pulse[1] += step;
@@ -338,6 +340,7 @@
 
     fn serve(&mut self, rpc: RpcIx, cx: &mut Cx) {
         if !self.waiting.is_empty() || !self.send(rpc, cx) {
+            self.barred = true;
             self.waiting.extend(self.rpcs.get(&rpc).map(|r| (r.rank, rpc)));
             cx.put(FRONT, Note::Pump);
         }
@@ -672,11 +675,12 @@
         let (held, shared) =
             trial.map_or((false, false), |t| self.strain.weigh(cx.now, t, nodes, [apart, lost], strain));
         let found = worse(1.0).or(shared.then_some(asked.len()));
-        // Lateness and slowness pass with a backlog; alone, no other arm shares the day's troubles.
+        // Lateness passes with a backlog, which lasts while nodes come and go; alone, no arm shares the trouble.
         let late = usize::from(found >= Some(asked.len() - 2));
         let ponder = PONDER[if self.alone() { 2 * late } else { late }];
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
-        let guilty = self.guilty.is_some_and(|since| cx.now >= since + ponder);
+        let calm = if late > 0 && self.alone() { self.stirred } else { Duration::ZERO };
+        let guilty = self.guilty.is_some_and(|since| cx.now >= since.max(calm) + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
         let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
         let ripe = better || cx.now >= self.begun(news, cx) + wait;
--- a/src/state.rs
+++ b/src/state.rs
@@ -455,6 +455,8 @@
     pub usual: Vec<f64>,
     pub oks: f64,
     pub counted: Duration,
+    /// An RPC could not be sent at once since then.
+    pub barred: bool,
     /// Mean times by kind and zone, in seconds.
     pub groups: BTreeMap<(usize, usize), f64>,
     /// How many own picks may be in flight, the part of the fleet's power that is this marshal's, times
@@ -515,6 +517,8 @@
     pub strain: Strain,
     /// Since when the evidence has stood against the build.
     pub guilty: Option<Duration>,
+    /// When a node last came or went.
+    pub stirred: Duration,
     pub halved: Duration,
     pub told: Duration,
     /// Whether the build got nothing when peers were last told.
@@ -531,6 +535,9 @@
         }
         let book = &mut self.books[card.entry.node];
         let fresh = (book.entry.build, book.entry.started) != (card.entry.build, card.entry.started);
+        if fresh || card.ready != book.ready {
+            self.stirred = cx.now;
+        }
         if fresh || !card.ready {
             // The old arm's record outlives its nodes.
             if book.entry.build < self.newest {
@@ -548,7 +555,7 @@
         let back = (law.marshal + law.crowd).checked_sub(from)? % law.crowd;
         let span = self.ring.pow(level.min(self.levels));
         let place = back / span;
-        (level < self.levels && back % span == 0 && (1..self.ring).contains(&place)).then_some(place)
+        (level < self.levels && back.is_multiple_of(span) && (1..self.ring).contains(&place)).then_some(place)
     }
 
     /// Halves all records, but for that of an arm without nodes.
