--- a/src/policy.rs
+++ b/src/policy.rs
@@ -134,10 +134,9 @@
         if outcome != Outcome::Timeout {
             self.heard = now;
         }
-        // The less a node was met, the more one outcome says, and the longer a rest must be to spare RPCs.
-        self.ill += (1.0 / (2.0 + self.card.met)).max(0.2) * (failed - self.ill);
+        self.ill += 0.2 * (failed - self.ill);
         if failed > 0.0 && self.ill > 0.4 && now >= self.rest_until {
-            self.rest_until = now + secs(0.5 * f64::from(1 << self.rests.min(5)));
+            self.rest_until = now + secs(0.5 * f64::from(1 << self.rests.min(3)));
             (self.rests, self.ill) = (self.rests + 1, 0.3);
         } else if self.ill < 0.1 {
             self.rests = 0;
@@ -386,9 +385,14 @@
         let reach = (self.pulse[0] / self.pulse[1].max(1.0) * cx.law.kept / KEPT[0]).max(KEPT[1]);
         let most_rest = 5 * self.resting >= 4 * all;
         let due = [SHARE_LIMIT[0] * (1.0 - share), SHARE_LIMIT[0] * share];
-        let within = [self.due[0] + due[0] >= 1.0, self.due[1] + due[1] >= 1.0 && !self.starved];
+        // Once released, older nodes are about to go, though a slow list may not say so for long.
+        let released = self.gate.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
+        let within = [
+            !released && self.due[0] + due[0] >= 1.0,
+            released || self.due[1] + due[1] >= 1.0 && !self.starved,
+        ];
         // A pick that failed on the newest build is repeated on an older one first.
-        let first = usize::from(self.new_first && !r.burnt && !self.starved);
+        let first = usize::from(released || self.new_first && !r.burnt && !self.starved);
         let mut arms = [first, 1 - first];
         arms.sort_by_key(|&arm| !within[arm]);
         for wary in [true, false] {
