--- a/src/policy.rs
+++ b/src/policy.rs
@@ -128,8 +128,7 @@
             Outcome::Ok => 0.0,
             Outcome::Error | Outcome::Timeout => 1.0,
             Outcome::Reset | Outcome::NoConnection => 3.0,
-            // Turned away unseen: the node is full, not ill.
-            Outcome::Full | Outcome::Cancelled | Outcome::Moot => return,
+            Outcome::Full | Outcome::Cancelled | Outcome::Moot => return, // Full is not ill.
         };
         if outcome != Outcome::Timeout {
             self.heard = now;
@@ -385,14 +384,8 @@
         let reach = (self.pulse[0] / self.pulse[1].max(1.0) * cx.law.kept / KEPT[0]).max(KEPT[1]);
         let most_rest = 5 * self.resting >= 4 * all;
         let due = [SHARE_LIMIT[0] * (1.0 - share), SHARE_LIMIT[0] * share];
-        // Once released, older nodes are about to go, though a slow list may not say so for long.
-        let released = self.gate.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
-        let within = [
-            !released && self.due[0] + due[0] >= 1.0,
-            released || self.due[1] + due[1] >= 1.0 && !self.starved,
-        ];
-        // A pick that failed on the newest build is repeated on an older one first.
-        let first = usize::from(released || self.new_first && !r.burnt && !self.starved);
+        let within = [self.due[0] + due[0] >= 1.0, self.due[1] + due[1] >= 1.0 && !self.starved];
+        let first = usize::from(self.new_first && !r.burnt && !self.starved); // Repeats: older first.
         let mut arms = [first, 1 - first];
         arms.sort_by_key(|&arm| !within[arm]);
         for wary in [true, false] {
@@ -554,8 +547,8 @@
             Note::Told(event) => {
                 let Some((news, reply)) = News::read(cx, &event) else { return };
                 if let Some(cast) = &mut self.cast {
-                    // What may not count is said again after a spread-out pause.
                     cast.2 |= matches!(reply, VoteReply::Counts | VoteReply::Moot);
+                    // Else said again.
                 }
                 if matches!(reply, VoteReply::Unasked | VoteReply::Counts) {
                     self.newer(news.build);
@@ -682,9 +675,9 @@
         let found = worse(1.0).or(shared.then_some(asked.len()));
         // Lateness passes with a backlog, which lasts while nodes come and go; alone, no arm shares the trouble.
         let late = usize::from(found >= Some(asked.len() - 2));
-        let ponder = PONDER[if self.alone() { 2 * late } else { late }];
+        let alone = late * usize::from(self.alone());
+        let (ponder, calm) = (PONDER[late + alone], self.stirred * alone as u32);
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
-        let calm = if late > 0 && self.alone() { self.stirred } else { Duration::ZERO };
         let guilty = self.guilty.is_some_and(|since| cx.now >= since.max(calm) + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
         let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
