--- a/src/policy.rs
+++ b/src/policy.rs
@@ -675,7 +675,7 @@
         // Lateness passes with a backlog, which lasts while nodes come and go; alone, no arm shares the trouble.
         let late = usize::from(found >= Some(asked.len() - 2));
         let alone = late * usize::from(self.alone());
-        let (ponder, calm) = (PONDER[late + alone], self.stirred * alone as u32);
+        let (ponder, calm) = (PONDER[late + alone], self.stirred * late as u32);
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
         let guilty = self.guilty.is_some_and(|since| cx.now >= since.max(calm) + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
