--- a/src/policy.rs
+++ b/src/policy.rs
@@ -480,7 +480,7 @@
         if self.cleared == Some(trial) {
             return (false, false);
         }
-        let eased = below(on, off, EASED, 0.3, var);
+        let eased = below(on, off, EASED, 0.2, var);
         let again = !lost && strained && eased && 2.0 * on.mean() < self.level + off.mean();
         match (self.since, self.relieved) {
             (None, Some(_)) if again => return (true, true),
@@ -490,7 +490,7 @@
             }
             (Some(since), _) if now >= since + ABSTAIN[0] => {
                 // Recovery by more than half counts: other troubles ease by themselves, and by less.
-                let relief = eased && off.mean() > 0.5 * (on.mean() + CALM);
+                let relief = eased && off.mean() > on.mean() + 0.4 * (CALM - on.mean());
                 self.relieved = relief.then_some(now);
                 (self.level, self.cleared) = (on.mean(), (!relief).then_some(trial));
                 (self.since, self.lately) = (None, Tally::default());
@@ -675,7 +675,7 @@
         // Lateness passes with a backlog, which lasts while nodes come and go; alone, no arm shares the trouble.
         let late = usize::from(found >= Some(asked.len() - 2));
         let alone = late * usize::from(self.alone());
-        let (ponder, calm) = (PONDER[late + alone], self.stirred * late as u32);
+        let (ponder, calm) = (PONDER[late + alone], self.stirred * alone as u32);
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
         let guilty = self.guilty.is_some_and(|since| cx.now >= since.max(calm) + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
