--- a/src/policy.rs
+++ b/src/policy.rs
@@ -56,6 +56,8 @@
 /// The fleet is crowded when even this part of the latest answers, the quickest, took this part of their soft
 /// deadline (queues delay all alike, far zones, slow methods and ill nodes only some); how many those are.
 const CROWDED: [f64; 3] = [0.25, 0.25, 24.0];
+/// Own picks in flight that are always allowed for each unit of power that is this marshal's part of the fleet.
+const FAIR: f64 = 2.0;
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
 const HEAD_START: f64 = 0.2;
 /// An RPC is given up when fewer than this many usual times are left before its soft deadline.
@@ -319,7 +321,7 @@
         }
         let crowded = self.lags.edge(CROWDED[0], CROWDED[2] / 3.0).is_some_and(|e| e >= bin(CROWDED[1]));
         if crowded && cx.now > self.cut + took {
-            (self.room, self.cut) = ((0.8 * self.out(cx)).max(self.fair), cx.now);
+            (self.room, self.cut) = ((0.8 * self.out(cx)).max(FAIR * self.fair).max(1.0), cx.now);
         } else if !crowded && self.out(cx) + 2.0 > self.room {
             self.room += 1.0 / self.room;
         }
@@ -419,7 +421,7 @@
         if self.stale {
             self.muster(cx);
         }
-        if self.out(cx) + 1.0 > self.room.max(self.fair) {
+        if self.out(cx) + 1.0 > self.room {
             return false;
         }
         let Some((arm, due, entry)) = self.rpcs.get(&rpc).and_then(|r| self.choose(r, cx)) else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -492,7 +492,7 @@
         let entry = |node: &NodeIx| &self.cards[*node].entry;
         let weigh = |node| cx.law.present(cx.age(entry(node))) * power(entry(node));
         self.weights = [0, 1].map(|arm: usize| self.arms[arm].iter().map(weigh).sum());
-        self.fair = ((self.weights[0] + self.weights[1]) / cx.law.marshals).max(1.0);
+        self.fair = (self.weights[0] + self.weights[1]) / cx.law.marshals;
         self.stale = false;
     }
 }
