--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,8 +40,7 @@
 const TELL: [Duration; 2] = [ms(1000), ms(3200)];
 /// The most marshals that tell one another directly, and so many log their votes: more would say the same.
 const RING: usize = 8;
-/// The served rate is averaged over this many seconds.
-const SERVED_OVER: f64 = 3.0;
+const SERVED_OVER: f64 = 3.0; // Seconds that the served rate is averaged over.
 /// Repeats of picks that may have run: earned per RPC taken, and the most in store.
 const RETRIES: [f64; 2] = [0.2, 20.0];
 /// The part of the soft deadline that an answer is taken to need before any has come.
@@ -327,7 +326,6 @@
         }
     }
 
-    /// Those that cannot end in time are given up at once; one that waits is sent, and a note goes on.
     fn pump(&mut self, cx: &mut Cx) {
         let late = |r: &Rpc| cx.now + secs(SPARE * self.usual[r.method]) > r.soft;
         let hopeless = |w: &&(Duration, RpcIx)| self.rpcs.get(&w.1).is_some_and(late);
@@ -472,7 +470,7 @@
     ) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
-        let strained = below(self.lately, calm, STRAINED, 0.5, var);
+        let strained = below(on, calm, STRAINED, 0.5, var); // Pooled: alone, a marshal may see too little.
         if strained && nodes == 0 {
             self.cleared = Some(trial); // Slowed before the build had any node here.
         }
@@ -527,7 +525,7 @@
                     let bin = bin(took / soft);
                     ledger.times[bin] += Tally::one(ok).good;
                     let calm = &self.before[kind * cx.law.duties.len() + method];
-                    let edge = calm.edge(CALM, LEAST_SAMPLE).filter(|_| entry.build < self.newest);
+                    let edge = calm.edge(CALM, LEAST_SAMPLE / 3.0).filter(|_| entry.build < self.newest);
                     edge.into_iter().for_each(|edge| self.strain.book(at, Tally::one(ok && bin <= edge)));
                 }
             }
