--- a/src/policy.rs
+++ b/src/policy.rs
@@ -55,7 +55,7 @@
 /// The fleet is crowded when even this part of the latest answers, the quickest, took this part of their soft
 /// deadline (queues delay all alike, far zones, slow methods and ill nodes only some); how many those are.
 const CROWDED: [f64; 3] = [0.25, 0.25, 24.0];
-/// Own picks in flight that are always allowed for each unit of power that is this marshal's part of the fleet.
+/// Own picks in flight always allowed for each unit of power in this marshal's part of the fleet.
 const FAIR: f64 = 2.0;
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
 const HEAD_START: f64 = 0.2;
@@ -290,7 +290,7 @@
             Note::Beat if cx.now >= self.counted + LOOK => {
                 let power = (self.weights[0] + self.weights[1]).max(1.0);
                 let step = (cx.now - self.counted).as_secs_f64().min(SERVED_OVER);
-                // Where nothing could be sent, nothing was learnt: else cold nodes alone would stay barred for good.
+                // Where nothing could be sent nothing was learnt, or cold nodes alone would stay barred.
                 if self.out(cx) + self.oks > 0.0 || !std::mem::take(&mut self.barred) {
                     self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
                 }
@@ -672,7 +672,7 @@
         let (held, shared) =
             trial.map_or((false, false), |t| self.strain.weigh(cx.now, t, nodes, [apart, lost], strain));
         let found = worse(1.0).or(shared.then_some(asked.len()));
-        // Lateness passes with a backlog, which lasts while nodes come and go; alone, no arm shares the trouble.
+        // Lateness passes with a backlog, which lasts while nodes come and go.
         let late = usize::from(found >= Some(asked.len() - 2));
         let alone = late * usize::from(self.alone());
         let (ponder, calm) = (PONDER[late + alone], self.stirred * alone as u32);
