--- a/src/state.rs
+++ b/src/state.rs
@@ -486,7 +486,7 @@
             let mine =
                 self.cards.iter().filter(ready).filter(|c| (c.entry.build == self.newest) == (arm == 1));
             *list = mine.map(|c| c.entry.node).collect();
-            list.sort_by_key(|&node| chance(cx.law.seed, 1 << 62 | node as u64));
+            list.sort_by_cached_key(|&node| chance(cx.law.seed, 1 << 62 | node as u64));
         }
         self.resting = self.cards.iter().filter(ready).filter(|c| c.resting).count();
         let entry = |node: &NodeIx| &self.cards[*node].entry;
