--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,7 +27,7 @@
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
 /// late or slow on trial; late or slow when alone, with no older arm beside it.
-const PONDER: [Duration; 3] = [ms(800), ms(4500), ms(8000)];
+const PONDER: [Duration; 3] = [ms(800), ms(3000), ms(8000)];
 /// The part of the older arm's answers that is brisk when calm, how far it falls under strain, how much it
 /// must rise without the build, and the part of the fleet that must be sound for the test to tell anything.
 const CALM: f64 = 0.75;
