--- a/src/policy.rs
+++ b/src/policy.rs
@@ -16,7 +16,7 @@
 const DELTA: f64 = 0.05;
 const LEAST_SAMPLE: f64 = 10.0;
 /// An arm's most, against its share of the ready nodes, and the most picks it may be behind or ahead.
-const SHARE_LIMIT: [f64; 2] = [1.02, 3.0];
+const SHARE_LIMIT: [f64; 2] = [1.1, 3.0];
 /// A node counts for neither arm's payoff before this age; records are halved this often.
 const YOUNG: Duration = ms(5000);
 const HALVE: Duration = ms(5000);
