--- a/src/policy.rs
+++ b/src/policy.rs
@@ -582,14 +582,16 @@
     /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble of a
     /// few nodes convicts no build. Too few on trial are held against the older arm's worst quarter instead.
     fn arm(&self, new: bool, mut sums: Vec<Ledger>, few: bool) -> (Vec<Ledger>, usize) {
-        let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
+        let mine = |b: &&Book| b.ready && b.used() && (b.entry.build == self.newest) == new;
         let faults = |b| (Book::faults(b), b);
         let mut books: Vec<(f64, &Book)> = self.books.iter().filter(mine).map(faults).collect();
         let quarter = books.len() / 4;
         books.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.entry.node.cmp(&b.1.entry.node)));
-        let kept = if few { &books[..quarter.max(1).min(books.len())] } else { &books[quarter..] };
-        kept.iter().filter(|b| b.1.used()).for_each(|b| b.1.add_to(&mut sums));
-        (sums, books.len())
+        // One fault is no node's own: where each was met once, all that failed would be left out.
+        let worst = books[..quarter].iter().filter(|b| b.0 > 1.0).count();
+        let kept = if few { &books[..quarter.max(1).min(books.len())] } else { &books[worst..] };
+        kept.iter().for_each(|b| b.1.add_to(&mut sums));
+        (sums, self.ready(new))
     }
 
     /// Released, or nearly all of the fleet: then the build is watched against the record from before its
