A node with one error alone is not left out with the worst quarter

Also holds against wrong answers seen once a node; may hurt when quick errors strike nodes that each marshal meets once.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -59,8 +59,7 @@
 const FAIR: f64 = 2.0;
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
 const HEAD_START: f64 = 0.2;
-/// An RPC is given up when fewer than this many usual times are left before its soft deadline.
-const SPARE: f64 = 1.5;
+const SPARE: f64 = 1.5; // Usual times before the soft deadline at which an RPC is given up.
 
 /// ε of the design for `n` outcomes of variance `var`.
 fn width(n: f64, var: f64) -> f64 {
@@ -306,7 +305,6 @@
         }
     }
 
-    /// Own picks in flight. One past its soft deadline may be lost, and holds no place.
     fn out(&self, cx: &Cx) -> f64 {
         let held = |r: &&Rpc| cx.now < r.soft && r.picks.iter().any(|p| p.out);
         self.rpcs.values().filter(held).count() as f64
@@ -582,16 +580,17 @@
     /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble of a
     /// few nodes convicts no build. Too few on trial are held against the older arm's worst quarter instead.
     fn arm(&self, new: bool, mut sums: Vec<Ledger>, few: bool) -> (Vec<Ledger>, usize) {
-        let mine = |b: &&Book| b.ready && b.used() && (b.entry.build == self.newest) == new;
+        let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
         let faults = |b| (Book::faults(b), b);
         let mut books: Vec<(f64, &Book)> = self.books.iter().filter(mine).map(faults).collect();
         let quarter = books.len() / 4;
         books.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.entry.node.cmp(&b.1.entry.node)));
-        // One fault is no node's own: where each was met once, all that failed would be left out.
-        let worst = books[..quarter].iter().filter(|b| b.0 > 1.0).count();
-        let kept = if few { &books[..quarter.max(1).min(books.len())] } else { &books[worst..] };
-        kept.iter().for_each(|b| b.1.add_to(&mut sums));
-        (sums, self.ready(new))
+        // A lone error is no node's own: where each was met once, all that failed would be left out.
+        let stays =
+            |i: usize, b: &Book| if few { i < quarter.max(1) } else { i >= quarter || b.lone_error() };
+        let kept = books.iter().enumerate().filter(|(i, b)| b.1.used() && stays(*i, b.1));
+        kept.for_each(|(_, b)| b.1.add_to(&mut sums));
+        (sums, books.len())
     }
 
     /// Released, or nearly all of the fleet: then the build is watched against the record from before its
@@ -747,8 +746,6 @@
     }
 }
 
-// ---- the marshal -----------------------------------------------------------------------------------------
-
 pub struct Marshal {
     cx: Cx,
     nodes: Vec<Node>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -366,6 +366,11 @@
     pub fn faults(&self) -> f64 {
         self.methods.iter().map(Ledger::faults).sum()
     }
+    /// One error or wrong answer, no more.
+    pub fn lone_error(&self) -> bool {
+        let errors = self.methods.iter().map(|l| l.sound.n - l.sound.good).sum::<f64>();
+        errors > 0.0 && errors <= 1.0
+    }
     pub fn used(&self) -> bool {
         self.methods.iter().any(|l| l.sound.n + l.paid.n > 0.0)
     }
