--- a/tests/marshal/cases.rs
+++ b/tests/marshal/cases.rs
@@ -253,25 +253,26 @@
     assert!(w.voted(Verdict::Back), "lateness that stays was missed");
 }
 
+/// Each marshal meets each node about once, so that a quarter of the nodes would hold all its errors.
 #[test]
 fn peers_sum_counts_in_rings_so_that_a_marshal_without_traffic_votes_back() {
     let marshal = |i: usize| {
         let mut t = terms();
         (t.marshal, t.marshals, t.seed) = (i, 25, 50 + i as u64);
-        let mut w = World::new(t, 8);
-        w.run(ms(6000), if i == 0 { 0 } else { 20 });
+        let mut w = World::new(t, 40);
+        w.run(ms(6000), if i == 0 { 0 } else { 6 });
         w.behave = Box::new(|e, _, _, die| match e.build == 2 && die % 3 == 0 {
             true => (Outcome::Error, ms(20)),
             false => (Outcome::Ok, ms(60)),
         });
         w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
-        (8..10).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+        (40..60).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
         w
     };
     let mut crowd: Vec<World> = (0..25).map(marshal).collect();
     for _ in 0..500 {
         for from in 0..crowd.len() {
-            crowd[from].tick(if from == 0 { 0 } else { 20 });
+            crowd[from].tick(if from == 0 { 0 } else { 6 });
             for (to, text) in std::mem::take(&mut crowd[from].told) {
                 let to = to.expect("no marshal tells all the others");
                 assert_ne!(to, from);
