--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use ivydrift::port::*;
+use ivydrift_policy::port::*;
 
 use crate::codec::{malformed, Result};
 
--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -4,8 +4,8 @@
 use std::mem;
 use std::time::Duration;
 
-use ivydrift::policy::Marshal;
-use ivydrift::port::*;
+use ivydrift_policy::policy::Marshal;
+use ivydrift_policy::port::*;
 
 use crate::codec::{malformed, Reader, Result, Writer};
 use crate::facts;
--- a/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -1,7 +1,7 @@
 //! Plain cases: one small day each.
 
 use crate::world::{ms, terms, World};
-use ivydrift::port::*;
+use ivydrift_policy::port::*;
 
 /// Eight warm nodes of build 1 that have served for a while, then `trial` nodes of build 2 in stage 0.
 fn on_trial(trial: usize) -> World {
--- a/tests/marshal/rules.rs
+++ b/crates/policy/tests/marshal/rules.rs
@@ -1,7 +1,7 @@
 //! Seeded random runs: whatever comes in, the five rules hold after every step.
 
 use crate::world::{ms, terms, World};
-use ivydrift::port::*;
+use ivydrift_policy::port::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
