--- /dev/null
+++ b/crates/wire/src/body.rs
@@ -0,0 +1,175 @@
+//! Finding the end of a body as its bytes pass by, without holding it.
+
+use crate::http::{Framing, Refusal};
+
+/// The longest chunk-size line with its extensions, and trailers in all.
+const LINE_BYTES: usize = 256;
+const TRAILER_BYTES: usize = 4096;
+
+/// What the bytes at the front of a buffer are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Content of this length.
+    Data(usize),
+    /// Framing of this length.
+    Mark(usize),
+    /// The body ended before the front of the buffer.
+    End,
+    /// More bytes are needed.
+    Need,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Left(u64),
+    Size,
+    Chunk(u64),
+    ChunkEnd,
+    Trailers(usize),
+    UntilClose,
+    Ended,
+}
+
+/// Walks over a body by its framing.
+#[derive(Clone, Debug)]
+pub struct Walk(State);
+
+impl Walk {
+    pub fn new(framing: Framing) -> Self {
+        Walk(match framing {
+            Framing::Length(0) => State::Ended,
+            Framing::Length(n) => State::Left(n),
+            Framing::Chunked => State::Size,
+            Framing::UntilClose => State::UntilClose,
+        })
+    }
+
+    pub fn ended(&self) -> bool {
+        self.0 == State::Ended
+    }
+
+    /// Tells what stands at the front of `buf` and steps over it.
+    ///
+    /// # Errors
+    /// When the chunks are malformed: their end cannot be known, the connection must be closed.
+    pub fn step(&mut self, buf: &[u8]) -> Result<Part, Refusal> {
+        let bad = |why| Err(Refusal { status: 400, why });
+        match self.0 {
+            State::Ended => Ok(Part::End),
+            _ if buf.is_empty() => Ok(Part::Need),
+            State::UntilClose => Ok(Part::Data(buf.len())),
+            State::Left(n) | State::Chunk(n) => {
+                let take = n.min(buf.len() as u64);
+                let chunked = matches!(self.0, State::Chunk(_));
+                self.0 = match (n - take, chunked) {
+                    (0, false) => State::Ended,
+                    (0, true) => State::ChunkEnd,
+                    (left, false) => State::Left(left),
+                    (left, true) => State::Chunk(left),
+                };
+                Ok(Part::Data(take as usize))
+            }
+            State::ChunkEnd => match buf {
+                [b'\r', b'\n', ..] => {
+                    self.0 = State::Size;
+                    Ok(Part::Mark(2))
+                }
+                [b'\r'] => Ok(Part::Need),
+                _ => bad("a chunk is longer than its size says"),
+            },
+            State::Size => {
+                let Some(line) = line(buf, LINE_BYTES)? else { return Ok(Part::Need) };
+                let digits = line.iter().take_while(|b| b.is_ascii_hexdigit()).count();
+                let rest = line[digits..].iter().find(|b| !matches!(b, b' ' | b'\t'));
+                if digits == 0 || digits > 15 || !matches!(rest, None | Some(b';')) {
+                    return bad("a chunk size is not a number");
+                }
+                let text = std::str::from_utf8(&line[..digits]).unwrap_or("");
+                let size = u64::from_str_radix(text, 16).unwrap_or(0);
+                self.0 = if size == 0 { State::Trailers(0) } else { State::Chunk(size) };
+                Ok(Part::Mark(line.len() + 2))
+            }
+            State::Trailers(seen) => {
+                let Some(line) = line(buf, TRAILER_BYTES)? else { return Ok(Part::Need) };
+                let seen = seen + line.len() + 2;
+                if seen > TRAILER_BYTES {
+                    return bad("the trailers are longer than 4 KiB");
+                }
+                self.0 = if line.is_empty() { State::Ended } else { State::Trailers(seen) };
+                Ok(Part::Mark(line.len() + 2))
+            }
+        }
+    }
+
+    /// The connection closed: whether that is a proper end here.
+    pub fn closed(&mut self) -> bool {
+        if self.0 == State::UntilClose {
+            self.0 = State::Ended;
+        }
+        self.ended()
+    }
+}
+
+fn line(buf: &[u8], most: usize) -> Result<Option<&[u8]>, Refusal> {
+    let bad = |why| Err(Refusal { status: 400, why });
+    match buf.iter().position(|&b| b == b'\n') {
+        Some(0) => bad("a line ends in LF without CR"),
+        Some(end) if buf[end - 1] != b'\r' => bad("a line ends in LF without CR"),
+        Some(end) if end < most => Ok(Some(&buf[..end - 1])),
+        None if buf.len() < most => Ok(None),
+        _ => bad("a line between chunks is too long"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// Content and length of the body at the front of `bytes`, handed over in parts of `step` bytes.
+    fn walk(framing: Framing, bytes: &[u8], step: usize) -> Result<(Vec<u8>, usize), Refusal> {
+        let (mut walk, mut data, mut at, mut have) = (Walk::new(framing), Vec::new(), 0, 0);
+        loop {
+            match walk.step(&bytes[at..have])? {
+                Part::Data(n) => {
+                    data.extend_from_slice(&bytes[at..at + n]);
+                    at += n;
+                }
+                Part::Mark(n) => at += n,
+                Part::End => return Ok((data, at)),
+                Part::Need if have == bytes.len() => return Ok((data, usize::MAX)),
+                Part::Need => have = (have + step).min(bytes.len()),
+            }
+        }
+    }
+
+    #[test]
+    fn malformed_chunks_are_errors() {
+        for bad in
+            ["x\r\n", "5\nhello", "3\r\nabcd\r\n", "-1\r\n", "fffffffffffffffff\r\n", "5 5\r\nhello\r\n"]
+        {
+            assert!(walk(Framing::Chunked, bad.as_bytes(), 1).is_err(), "{bad:?}");
+        }
+        let endless = format!("5;{}", "x".repeat(300));
+        assert!(walk(Framing::Chunked, endless.as_bytes(), 7).is_err());
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+        /// Chunks of any sizes, cut anywhere, give back the content and leave the next message alone.
+        #[test]
+        fn chunks_are_walked(parts in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 1..40), 0..6),
+                             step in 1usize..30) {
+            let mut bytes = Vec::new();
+            for part in &parts {
+                bytes.extend_from_slice(format!("{:x};x=y\r\n", part.len()).as_bytes());
+                bytes.extend_from_slice(part);
+                bytes.extend_from_slice(b"\r\n");
+            }
+            bytes.extend_from_slice(b"0\r\nT: 1\r\n\r\n");
+            let length = bytes.len();
+            bytes.extend_from_slice(b"GET /next HTTP/1.1\r\n\r\n");
+            prop_assert_eq!(walk(Framing::Chunked, &bytes, step), Ok((parts.concat(), length)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/http.rs
@@ -0,0 +1,365 @@
+//! HTTP/1.1 heads (RFC 9112), read strictly: what two parsers could read in two ways is refused, so that no
+//! message can be smuggled to a node inside another.
+
+use std::ops::Range;
+
+/// Limits on a head: bytes in all, and header fields.
+pub const HEAD_BYTES: usize = 16 * 1024;
+pub const HEAD_FIELDS: usize = 64;
+
+/// How the end of a body is found (RFC 9112, section 6).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// Exactly this many bytes.
+    Length(u64),
+    Chunked,
+    /// Responses only: until the connection closes.
+    UntilClose,
+}
+
+/// Why a head is not taken, with the status that says so (RFC 9110).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    pub status: u16,
+    pub why: &'static str,
+}
+
+const fn refuse<T>(status: u16, why: &'static str) -> Result<T, Refusal> {
+    Err(Refusal { status, why })
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Field {
+    name: Range<usize>,
+    value: Range<usize>,
+}
+
+/// The header fields of one message, over the bytes they came in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fields {
+    raw: Vec<u8>,
+    fields: Vec<Field>,
+}
+
+impl Fields {
+    fn new(raw: &[u8], parsed: &[httparse::Header]) -> Self {
+        // httparse hands out slices of `raw`; as ranges they outlive the buffer that was read into.
+        let range = |part: &[u8]| {
+            let from = part.as_ptr() as usize - raw.as_ptr() as usize;
+            from..from + part.len()
+        };
+        let fields =
+            parsed.iter().map(|h| Field { name: range(h.name.as_bytes()), value: range(h.value) }).collect();
+        Fields { raw: raw.to_vec(), fields }
+    }
+
+    /// All fields in their order: name, value.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.fields.iter().map(|f| {
+            (std::str::from_utf8(&self.raw[f.name.clone()]).unwrap_or(""), &self.raw[f.value.clone()])
+        })
+    }
+
+    /// The values of a field, by its name in any case.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        self.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+    }
+
+    /// The first value of a field, where it is text.
+    pub fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        self.all(name).next().and_then(|v| std::str::from_utf8(v).ok()).map(str::trim)
+    }
+
+    /// A comma-separated list field holds the word.
+    pub fn lists<'a>(&'a self, name: &'a str, word: &str) -> bool {
+        self.all(name)
+            .filter_map(|v| std::str::from_utf8(v).ok())
+            .flat_map(|v| v.split(','))
+            .any(|w| w.trim().eq_ignore_ascii_case(word))
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    pub verb: String,
+    pub target: String,
+    pub fields: Fields,
+    pub framing: Framing,
+    /// The client may send another message on this connection.
+    pub keep_alive: bool,
+    /// The client waits for `100 Continue` before its body.
+    pub expects_continue: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub fields: Fields,
+    pub framing: Framing,
+    pub keep_alive: bool,
+}
+
+/// A head and how many bytes of the buffer it took; none while it is incomplete.
+pub type Parsed<T> = Result<Option<(T, usize)>, Refusal>;
+
+/// Reads a request head from the front of `buf`.
+pub fn request(buf: &[u8]) -> Parsed<Request> {
+    let mut headers = [httparse::EMPTY_HEADER; HEAD_FIELDS];
+    let mut head = httparse::Request::new(&mut headers);
+    let used = match head.parse(&buf[..buf.len().min(HEAD_BYTES)]) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if buf.len() >= HEAD_BYTES => {
+            return refuse(431, "the head is longer than 16 KiB");
+        }
+        Ok(httparse::Status::Partial) => {
+            bare_lf(buf)?;
+            return Ok(None);
+        }
+        Err(httparse::Error::TooManyHeaders) => return refuse(431, "more than 64 header fields"),
+        Err(httparse::Error::Version) => return refuse(505, "only HTTP/1.0 and HTTP/1.1 are spoken"),
+        Err(_) => return refuse(400, "the head is malformed"),
+    };
+    bare_lf(&buf[..used])?;
+    let (verb, target) = (head.method.unwrap_or("").to_owned(), head.path.unwrap_or("").to_owned());
+    let newer = head.version == Some(1);
+    let fields = Fields::new(&buf[..used], head.headers);
+    if !target.starts_with('/') {
+        return refuse(400, "the target is not a path");
+    }
+    let hosts = fields.all("host").count();
+    if hosts > 1 || (newer && hosts == 0) {
+        return refuse(400, "there must be one Host field");
+    }
+    let framing = match framing(&fields, newer)? {
+        Some(framing) => framing,
+        None => Framing::Length(0),
+    };
+    let expects_continue = match fields.get("expect") {
+        None => false,
+        Some(what) if newer && what.eq_ignore_ascii_case("100-continue") => true,
+        Some(_) => return refuse(417, "only 100-continue can be expected"),
+    };
+    let keep_alive = persists(&fields, newer);
+    Ok(Some((Request { verb, target, fields, framing, keep_alive, expects_continue }, used)))
+}
+
+/// Reads a response head from the front of `buf`; `to_head` says that it answers a HEAD.
+pub fn response(buf: &[u8], to_head: bool) -> Parsed<Response> {
+    let mut headers = [httparse::EMPTY_HEADER; HEAD_FIELDS];
+    let mut head = httparse::Response::new(&mut headers);
+    let used = match head.parse(&buf[..buf.len().min(HEAD_BYTES)]) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) if buf.len() >= HEAD_BYTES => {
+            return refuse(502, "the head is too long")
+        }
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return refuse(502, "the head is malformed"),
+    };
+    bare_lf(&buf[..used])?;
+    let (status, newer) = (head.code.unwrap_or(0), head.version == Some(1));
+    if !(100..600).contains(&status) {
+        return refuse(502, "the status is not one of HTTP");
+    }
+    let fields = Fields::new(&buf[..used], head.headers);
+    let bodiless = to_head || status < 200 || status == 204 || status == 304;
+    let framing = match framing(&fields, newer)? {
+        _ if bodiless => Framing::Length(0),
+        Some(framing) => framing,
+        None => Framing::UntilClose,
+    };
+    let keep_alive = persists(&fields, newer) && framing != Framing::UntilClose;
+    Ok(Some((Response { status, fields, framing, keep_alive }, used)))
+}
+
+/// A lone LF ends a line for some parsers and not for others.
+fn bare_lf(head: &[u8]) -> Result<(), Refusal> {
+    let lone = |i: usize| head[i] == b'\n' && (i == 0 || head[i - 1] != b'\r');
+    if (0..head.len()).any(lone) {
+        return refuse(400, "a line ends in LF without CR");
+    }
+    Ok(())
+}
+
+fn framing(fields: &Fields, newer: bool) -> Result<Option<Framing>, Refusal> {
+    let mut codings = fields.all("transfer-encoding");
+    let mut lengths = fields.all("content-length");
+    match (codings.next(), lengths.next()) {
+        (Some(_), Some(_)) => refuse(400, "both Transfer-Encoding and Content-Length"),
+        (Some(_), None) if !newer => refuse(400, "Transfer-Encoding in HTTP/1.0"),
+        (Some(coding), None) if coding.eq_ignore_ascii_case(b"chunked") && codings.next().is_none() => {
+            Ok(Some(Framing::Chunked))
+        }
+        (Some(_), None) => refuse(501, "the only transfer coding spoken is chunked"),
+        (None, Some(length)) => {
+            if lengths.next().is_some() {
+                return refuse(400, "more than one Content-Length");
+            }
+            let digits = !length.is_empty() && length.len() <= 18 && length.iter().all(u8::is_ascii_digit);
+            match std::str::from_utf8(length).ok().filter(|_| digits).and_then(|l| l.parse().ok()) {
+                Some(length) => Ok(Some(Framing::Length(length))),
+                None => refuse(400, "Content-Length is not a number"),
+            }
+        }
+        (None, None) => Ok(None),
+    }
+}
+
+fn persists(fields: &Fields, newer: bool) -> bool {
+    if newer {
+        !fields.lists("connection", "close")
+    } else {
+        fields.lists("connection", "keep-alive")
+    }
+}
+
+/// Fields that concern one connection only (RFC 9110, section 7.6.1), besides those that Connection names.
+pub fn hop_by_hop(name: &str) -> bool {
+    const HOP: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    ];
+    HOP.iter().any(|h| name.eq_ignore_ascii_case(h))
+}
+
+/// Writes a message head out of its start line and fields. Values with line breaks cannot occur: they were
+/// parsed, or are our own.
+pub struct HeadWriter(Vec<u8>);
+
+impl HeadWriter {
+    pub fn request(verb: &str, target: &str) -> Self {
+        HeadWriter(format!("{verb} {target} HTTP/1.1\r\n").into_bytes())
+    }
+
+    pub fn response(status: u16) -> Self {
+        HeadWriter(format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes())
+    }
+
+    pub fn field(mut self, name: &str, value: impl AsRef<[u8]>) -> Self {
+        self.0.extend_from_slice(name.as_bytes());
+        self.0.extend_from_slice(b": ");
+        self.0.extend_from_slice(value.as_ref());
+        self.0.extend_from_slice(b"\r\n");
+        self
+    }
+
+    /// The end-to-end fields of another message, without those that `but` names.
+    pub fn pass(mut self, fields: &Fields, but: &[&str]) -> Self {
+        for (name, value) in fields.iter() {
+            let named = but.iter().any(|b| name.eq_ignore_ascii_case(b));
+            if !named && !hop_by_hop(name) && !fields.lists("connection", name) {
+                self = self.field(name, value);
+            }
+        }
+        self
+    }
+
+    pub fn finish(mut self) -> Vec<u8> {
+        self.0.extend_from_slice(b"\r\n");
+        self.0
+    }
+}
+
+pub fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        417 => "Expectation Failed",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        505 => "HTTP Version Not Supported",
+        _ => "Other",
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn status(text: &str) -> u16 {
+        request(text.as_bytes()).unwrap_err().status
+    }
+
+    #[test]
+    fn a_plain_head_is_read() {
+        let text = "POST /calendar-read HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc";
+        let (head, used) = request(text.as_bytes()).unwrap().unwrap();
+        assert_eq!((&*head.verb, &*head.target, used), ("POST", "/calendar-read", text.len() - 3));
+        assert_eq!((head.framing, head.keep_alive), (Framing::Length(3), true));
+    }
+
+    #[test]
+    fn what_two_parsers_could_read_in_two_ways_is_refused() {
+        let with = |fields: &str| status(&format!("POST /a HTTP/1.1\r\nHost: a\r\n{fields}\r\n"));
+        assert_eq!(with("Content-Length: 3\r\nContent-Length: 4\r\n"), 400);
+        assert_eq!(with("Content-Length: 3\r\nContent-Length: 3\r\n"), 400);
+        assert_eq!(with("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"), 400);
+        assert_eq!(with("Content-Length: +3\r\n"), 400);
+        assert_eq!(with("Content-Length: 3, 3\r\n"), 400);
+        assert_eq!(with("Transfer-Encoding: xchunked\r\n"), 501);
+        assert_eq!(with("Transfer-Encoding: gzip, chunked\r\n"), 501);
+        assert_eq!(with("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"), 501);
+        assert_eq!(with("Transfer-Encoding : chunked\r\n"), 400);
+        assert_eq!(with("X: a\r\n folded\r\n"), 400);
+        assert_eq!(with("Host: b\r\n"), 400);
+        assert_eq!(with("Expect: 200-maybe\r\n"), 417);
+        assert_eq!(status("POST /a HTTP/1.1\nHost: a\r\n\r\n"), 400);
+        assert_eq!(status("POST /a HTTP/1.1\r\n\r\n"), 400);
+        assert_eq!(status("POST /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n"), 400);
+        assert_eq!(status("POST /a HTTP/3.1\r\nHost: a\r\n\r\n"), 505);
+    }
+
+    #[test]
+    fn oversized_heads_are_refused_while_they_arrive() {
+        let long = format!("POST /a HTTP/1.1\r\nHost: a\r\nX: {}", "y".repeat(HEAD_BYTES));
+        assert_eq!(status(&long), 431);
+        let many = "X: y\r\n".repeat(HEAD_FIELDS + 1);
+        assert_eq!(status(&format!("POST /a HTTP/1.1\r\n{many}\r\n")), 431);
+    }
+
+    #[test]
+    fn hop_by_hop_fields_and_those_that_connection_names_stay_behind() {
+        let text =
+            "GET /a HTTP/1.1\r\nHost: a\r\nConnection: X-Mine\r\nX-Mine: 1\r\nTE: trailers\r\nY: 2\r\n\r\n";
+        let (head, _) = request(text.as_bytes()).unwrap().unwrap();
+        let out = HeadWriter::request("GET", "/a").pass(&head.fields, &["host"]).finish();
+        assert_eq!(String::from_utf8(out).unwrap(), "GET /a HTTP/1.1\r\nY: 2\r\n\r\n");
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+        /// However a head arrives, it is read once whole and to the same result.
+        #[test]
+        fn a_head_in_parts_is_the_same_head(cut in 0usize..60, junk in proptest::collection::vec(any::<u8>(), 0..40)) {
+            let text = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n";
+            let cut = cut.min(text.len() - 1);
+            prop_assert_eq!(request(&text[..cut]), Ok(None));
+            let whole = [&text[..], &junk].concat();
+            let (head, used) = request(&whole).unwrap().unwrap();
+            prop_assert_eq!((used, head.framing), (text.len(), Framing::Length(3)));
+        }
+        /// No bytes make it panic.
+        #[test]
+        fn any_bytes_are_survived(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+            let _ = request(&bytes);
+            let _ = response(&bytes, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/list.rs
@@ -0,0 +1,154 @@
+//! The node list, in the blocking-query form of Consul's health endpoint: `GET
+//! /v1/health/service/NAME?index=N&wait=10s`, answered at once when the index has passed N, else held. The
+//! index travels in `X-Consul-Index`.
+
+use serde::{Deserialize, Serialize};
+
+pub const INDEX: &str = "x-consul-index";
+/// The longest list taken, in bytes and nodes.
+pub const LIST_BYTES: usize = 4 * 1024 * 1024;
+pub const LIST_NODES: usize = 20_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Ready,
+    Draining,
+}
+
+/// One node as listed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub host: String,
+    pub port: u16,
+    pub state: State,
+    pub build: u32,
+    pub zone: String,
+    pub cell: u16,
+    pub kind: String,
+    /// Its size against other nodes; 1 where it is not given.
+    pub power: f64,
+    /// When it last started, in milliseconds of Unix time; none means long ago.
+    pub started_ms: Option<u64>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Entry {
+    #[serde(rename = "Service")]
+    service: Service,
+    #[serde(rename = "Checks", default)]
+    checks: Vec<Check>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Service {
+    #[serde(rename = "Address")]
+    address: String,
+    #[serde(rename = "Port")]
+    port: u16,
+    #[serde(rename = "Meta", default)]
+    meta: std::collections::BTreeMap<String, String>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Check {
+    #[serde(rename = "Status")]
+    status: String,
+}
+
+pub fn path(service: &str, index: u64, wait_s: u64) -> String {
+    format!("/v1/health/service/{service}?index={index}&wait={wait_s}s")
+}
+
+/// A number of a query string.
+pub fn query(target: &str, name: &str) -> Option<u64> {
+    let pairs = target.split_once('?')?.1.split('&').filter_map(|p| p.split_once('='));
+    pairs.filter(|(n, _)| *n == name).find_map(|(_, v)| v.trim_end_matches('s').parse().ok())
+}
+
+pub fn write(nodes: &[Listed]) -> Vec<u8> {
+    let entry = |n: &Listed| {
+        let mut meta = std::collections::BTreeMap::from([
+            ("build".to_owned(), n.build.to_string()),
+            ("zone".to_owned(), n.zone.clone()),
+            ("cell".to_owned(), n.cell.to_string()),
+            ("kind".to_owned(), n.kind.clone()),
+            ("power".to_owned(), n.power.to_string()),
+        ]);
+        meta.extend(n.started_ms.map(|ms| ("started_ms".to_owned(), ms.to_string())));
+        let status = if n.state == State::Ready { "passing" } else { "draining" };
+        Entry {
+            service: Service { address: n.host.clone(), port: n.port, meta },
+            checks: vec![Check { status: status.to_owned() }],
+        }
+    };
+    serde_json::to_vec(&nodes.iter().map(entry).collect::<Vec<_>>()).unwrap_or_default()
+}
+
+/// Reads a whole list. Nodes with a critical check are left out, as a catalogue's `passing` filter does;
+/// a node in maintenance, or draining, gets nothing new.
+///
+/// # Errors
+/// A sentence on what is wrong; the list is then not taken at all.
+pub fn read(bytes: &[u8]) -> Result<Vec<Listed>, String> {
+    if bytes.len() > LIST_BYTES {
+        return Err(format!("the list has {} bytes, over {LIST_BYTES}", bytes.len()));
+    }
+    let entries: Vec<Entry> = serde_json::from_slice(bytes).map_err(|e| format!("the list: {e}"))?;
+    if entries.len() > LIST_NODES {
+        return Err(format!("the list has {} nodes, over {LIST_NODES}", entries.len()));
+    }
+    let mut listed = Vec::with_capacity(entries.len());
+    for entry in entries {
+        let (service, worst) = (&entry.service, |word| entry.checks.iter().any(|c| c.status == word));
+        if worst("critical") {
+            continue;
+        }
+        let at = format!("{}:{}", service.address, service.port);
+        let number = |name: &str| match service.meta.get(name) {
+            None => Ok(None),
+            Some(text) => match text.parse::<f64>() {
+                Ok(v) if v.is_finite() && v >= 0.0 => Ok(Some(v)),
+                _ => Err(format!("node {at}: Meta.{name} is {text:?}, not a number of 0 or more")),
+            },
+        };
+        let build = number("build")?.ok_or_else(|| format!("node {at}: Meta.build is missing"))?;
+        let drains = worst("draining") || worst("maintenance");
+        listed.push(Listed {
+            host: service.address.clone(),
+            port: service.port,
+            state: if drains { State::Draining } else { State::Ready },
+            build: build as u32,
+            zone: service.meta.get("zone").cloned().unwrap_or_default(),
+            cell: number("cell")?.unwrap_or(0.0) as u16,
+            kind: service.meta.get("kind").cloned().unwrap_or_default(),
+            power: number("power")?.unwrap_or(1.0),
+            started_ms: number("started_ms")?.map(|ms| ms as u64),
+        });
+    }
+    Ok(listed)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_list_comes_back_as_written_and_bad_entries_are_named() {
+        let node = Listed {
+            host: "127.0.0.1".into(),
+            port: 9000,
+            state: State::Draining,
+            build: 7,
+            zone: "a".into(),
+            cell: 0,
+            kind: "k".into(),
+            power: 1.5,
+            started_ms: Some(123),
+        };
+        assert_eq!(read(&write(std::slice::from_ref(&node))), Ok(vec![node]));
+        let bad = br#"[{"Service":{"Address":"h","Port":1,"Meta":{"build":"x"}}}]"#;
+        assert!(read(bad).unwrap_err().contains("h:1: Meta.build"));
+        let ill = br#"[{"Service":{"Address":"h","Port":1,"Meta":{"build":"1"}},"Checks":[{"Status":"critical"}]}]"#;
+        assert_eq!(read(ill), Ok(vec![]));
+    }
+}
--- /dev/null
+++ b/crates/wire/src/orca.rs
@@ -0,0 +1,85 @@
+//! A node's load in the `endpoint-load-metrics` response field, in the native form of the Open Request Cost
+//! Aggregation proposal: `TEXT name=value, ...`, or `JSON {...}`.
+
+/// The field's name.
+pub const FIELD: &str = "endpoint-load-metrics";
+
+/// Figures as a node reports them; what is absent or malformed is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Metrics {
+    /// Busy part of the cores, 0 to 1.
+    pub cpu_utilization: Option<f64>,
+    /// RPCs a second.
+    pub rps: Option<f64>,
+    /// Errors a second.
+    pub eps: Option<f64>,
+    /// RPCs waiting, RPCs held, recent service time in milliseconds: named metrics of ours.
+    pub queue: Option<f64>,
+    pub in_flight: Option<f64>,
+    pub latency_ms: Option<f64>,
+}
+
+impl Metrics {
+    fn set(&mut self, name: &str, value: f64) {
+        let slot = match name.strip_prefix("named_metrics.").unwrap_or(name) {
+            "cpu_utilization" => &mut self.cpu_utilization,
+            "rps_fractional" | "rps" => &mut self.rps,
+            "eps" => &mut self.eps,
+            "queue" => &mut self.queue,
+            "in_flight" => &mut self.in_flight,
+            "latency_ms" => &mut self.latency_ms,
+            _ => return,
+        };
+        *slot = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
+    }
+
+    pub fn read(text: &str) -> Metrics {
+        let mut metrics = Metrics::default();
+        if let Some(pairs) = text.strip_prefix("TEXT ") {
+            for (name, value) in pairs.split(',').filter_map(|p| p.split_once('=')) {
+                if let Ok(value) = value.trim().parse() {
+                    metrics.set(name.trim(), value);
+                }
+            }
+        } else if let Some(Ok(serde_json::Value::Object(map))) =
+            text.strip_prefix("JSON ").map(serde_json::from_str)
+        {
+            let named = map.get("named_metrics").and_then(|n| n.as_object()).into_iter().flatten();
+            for (name, value) in map.iter().chain(named) {
+                if let Some(value) = value.as_f64() {
+                    metrics.set(name, value);
+                }
+            }
+        }
+        metrics
+    }
+
+    pub fn write(&self) -> String {
+        let figures = [
+            ("cpu_utilization", self.cpu_utilization),
+            ("rps_fractional", self.rps),
+            ("eps", self.eps),
+            ("named_metrics.queue", self.queue),
+            ("named_metrics.in_flight", self.in_flight),
+            ("named_metrics.latency_ms", self.latency_ms),
+        ];
+        let given = figures.iter().filter_map(|(name, v)| v.map(|v| format!("{name}={v}")));
+        format!("TEXT {}", given.collect::<Vec<_>>().join(", "))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn both_native_forms_are_read_and_nonsense_is_none() {
+        let m = Metrics { cpu_utilization: Some(0.5), queue: Some(3.0), ..Metrics::default() };
+        assert_eq!(Metrics::read(&m.write()), m);
+        let json = r#"JSON {"cpu_utilization":0.5,"named_metrics":{"queue":3}}"#;
+        assert_eq!(Metrics::read(json), m);
+        for bad in ["", "TEXT", "TEXT queue=NaN", "JSON {", "BIN AAAA", "TEXT queue=-1"] {
+            assert_eq!(Metrics::read(bad), Metrics::default(), "{bad}");
+        }
+    }
+}
