Terms of a marshal in HCL, checked whole, every fault with its place and what to write

Need: the running marshal is told its terms in a file. Result: 3 tests, one breaks four keys of the example and finds all four by line.

--- /dev/null
+++ b/crates/terms/src/lib.rs
@@ -0,0 +1,300 @@
+//! What a marshal is told at its start: an HCL file, checked whole, into [`Terms`]. The example that is known
+//! to be right is [`EXAMPLE`]; `docs/operators.md` explains each key.
+#![forbid(unsafe_code)]
+
+pub mod sheet;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ivydrift_policy::port::*;
+use sheet::{Complaints, Page, Sheet};
+
+/// Terms for a first marshal beside the stand-ins' default addresses.
+pub const EXAMPLE: &str = include_str!("../example.hcl");
+
+/// Where the shell listens and whom it asks.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Places {
+    /// Clients' RPCs.
+    pub listen: SocketAddr,
+    /// The node list and the service's name in it.
+    pub node_list: SocketAddr,
+    pub service: String,
+    pub release_desk: SocketAddr,
+    /// Peers' datagrams, by marshal number; ours is among them. Empty where marshals share nothing.
+    pub peers: Vec<SocketAddr>,
+}
+
+/// Bounds of the shell: what it holds, and how long it waits for slow sockets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Client connections at once; more are closed at once.
+    pub clients: usize,
+    /// The longest body of an RPC, which is held so that it can be sent again.
+    pub body: usize,
+    /// A client that has begun a message must end it within this.
+    pub slow_client: Duration,
+    /// Idle client connections are closed after this.
+    pub idle_client: Duration,
+    /// A connection to a node must stand within this.
+    pub connect: Duration,
+    /// Idle connections kept to one node.
+    pub idle_to_node: usize,
+    /// A final answer is on its way this long before the client's time is up.
+    pub reserve: Duration,
+    /// Threads that run coroutines.
+    pub workers: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub places: Places,
+    pub bounds: Bounds,
+    pub rollout: RolloutTerms,
+    /// Names behind the policy's indices.
+    pub methods: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// Reads terms; `file` is named in complaints.
+///
+/// # Errors
+/// All that is wrong with the text, each with file, line, column and what to write instead.
+pub fn read(file: &str, text: &str) -> Result<Terms, Complaints> {
+    Page::new(file, text).read(terms)
+}
+
+fn address(sheet: &Sheet, key: &str) -> SocketAddr {
+    let form = "\"address:port\", as in \"127.0.0.1:7100\"";
+    let read = |text: &str| text.parse().ok();
+    sheet.parsed(key, None, form, read).unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn terms(top: &Sheet) -> Terms {
+    let zones = top.texts("zones", Some(vec!["here".to_owned()]));
+    let kinds = top.texts("kinds", Some(vec!["plain".to_owned()]));
+    let (marshal, marshals, zone, seed) = top.block("marshal", |s| {
+        let marshals = s.whole("of", Some(1), 1..=10_000) as usize;
+        let number = s.whole("number", Some(0), 0..=9_999) as usize;
+        if number >= marshals {
+            s.complain(
+                Some("number"),
+                format!("number is {number}: write 0 to {}, for of = {marshals}", marshals - 1),
+            );
+        }
+        let zone = s.text("zone", zones.first().map(String::as_str), "one of the zones");
+        let at = zones.iter().position(|z| *z == zone);
+        if at.is_none() {
+            s.complain(
+                Some("zone"),
+                format!("zone {zone:?} is not among zones: write one of {}", zones.join(", ")),
+            );
+        }
+        (number, marshals, at.unwrap_or(0), s.whole("seed", Some(number as u64 + 1), 0..=u64::MAX))
+    });
+    let places = top.block("places", |s| {
+        let peer = |text: &String| match text.parse() {
+            Ok(addr) => Some(addr),
+            Err(_) => {
+                s.complain(Some("peers"), format!("peers holds {text:?}: write \"address:port\" for each"));
+                None
+            }
+        };
+        let peers: Vec<SocketAddr> = s.texts("peers", Some(vec![])).iter().filter_map(peer).collect();
+        if !peers.is_empty() && peers.len() != marshals {
+            let what =
+                format!("peers has {} addresses: write one for each of the {marshals} marshals", peers.len());
+            s.complain(Some("peers"), what);
+        }
+        Places {
+            listen: address(s, "listen"),
+            node_list: address(s, "node_list"),
+            service: s.text("service", None, "the service's name in the node list"),
+            release_desk: address(s, "release_desk"),
+            peers,
+        }
+    });
+    let methods = top.labelled("method", |name, s| (name.to_owned(), method(s)));
+    if methods.is_empty() {
+        top.complain(None, "no method is named: write at least one method \"its-path\" { ... }");
+    }
+    let tenants = top.labelled("tenant", |name, s| {
+        let quota = s.number("quota", None, 0.0..=f64::INFINITY);
+        (name.to_owned(), TenantTerms { quota, share: s.number("share", None, 0.0..=1.0) })
+    });
+    let bounds = top.block("bounds", |s| Bounds {
+        clients: s.whole("clients", Some(10_000), 1..=1_000_000) as usize,
+        body: s.whole("body_kib", Some(64), 1..=16_384) as usize * 1024,
+        slow_client: s.span("slow_client", Some(Duration::from_secs(10))),
+        idle_client: s.span("idle_client", Some(Duration::from_secs(300))),
+        connect: s.span("connect", Some(Duration::from_millis(250))),
+        idle_to_node: s.whole("idle_to_node", Some(64), 1..=10_000) as usize,
+        reserve: s.span("reserve", Some(Duration::from_millis(20))),
+        workers: s.whole("workers", Some(2), 1..=256) as usize,
+    });
+    let limits = top.block("limits", |s| LimitTerms {
+        most_picks: s.whole("most_picks", Some(4), 1..=100) as usize,
+        second_copies: s.flag("second_copies", Some(false)),
+        cancel: s.flag("cancel", Some(true)),
+        probes: false,
+        peers: !places.peers.is_empty(),
+        idle_kept: s.span("idle_kept", Some(Duration::from_secs(30))),
+        retry_after: Some(s.span("retry_after", Some(Duration::from_secs(2)))).filter(|d| !d.is_zero()),
+    });
+    let rules = top.block("rules", |s| RuleTerms {
+        drain_grace: s.span("drain_grace", Some(Duration::from_secs(1))),
+        cold_from: s.number("cold_from", Some(0.4), 0.01..=1.0),
+        warm_within: s.span("warm_within", Some(Duration::from_secs(5))),
+        fall_multiple: s.number("fall_multiple", Some(3.0), 1.0..=1000.0),
+        fall_window: s.span("fall_window", Some(Duration::from_secs(1))),
+        ask_within: s.span("ask_within", Some(Duration::from_secs(10))),
+    });
+    let release = top.block("release", |s| release(s, marshals));
+    let (methods, method_terms) = methods.into_iter().unzip();
+    let (tenants, tenant_terms) = tenants.into_iter().unzip();
+    let rollout = RolloutTerms {
+        seed,
+        marshal,
+        marshals,
+        zone,
+        // A blocking query is a subscription that can break: the policy decides when to ask again.
+        ask_discovery: true,
+        methods: method_terms,
+        tenants: tenant_terms,
+        over_share_utility: top.number("over_share_utility", Some(1.0), 0.0..=1.0),
+        kinds: kinds.len(),
+        release,
+        rules,
+        limits,
+    };
+    Terms { places, bounds, rollout, methods, tenants, zones, kinds }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Kind {
+    Idempotent,
+    Tokened,
+    NonIdempotent,
+}
+
+fn method(s: &Sheet) -> MethodTerms {
+    let kinds = [
+        ("idempotent", Kind::Idempotent),
+        ("tokened", Kind::Tokened),
+        ("non-idempotent", Kind::NonIdempotent),
+    ];
+    let repeat = match s.one_of("repeat", None, &kinds) {
+        Kind::Idempotent => Repeat::Idempotent,
+        Kind::NonIdempotent => Repeat::NonIdempotent,
+        Kind::Tokened => {
+            let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+            Repeat::Tokened {
+                group: s.one_of("group", Some(Group::All), &groups),
+                window: s.span("window", None),
+            }
+        }
+    };
+    let (soft_deadline, deadline) = (s.span("soft_deadline", None), s.span("deadline", None));
+    if soft_deadline > deadline {
+        s.complain(Some("soft_deadline"), "soft_deadline is after deadline: write at most the deadline");
+    }
+    if soft_deadline.is_zero() && s.has("soft_deadline") {
+        s.complain(Some("soft_deadline"), "soft_deadline is nothing: write a span over 0");
+    }
+    MethodTerms {
+        repeat,
+        soft_deadline,
+        stretch: 0.0,
+        deadline,
+        utility: s.number("utility", Some(1.0), 0.0..=1e9),
+        late_utility: s.number("late_utility", Some(0.0), 0.0..=1.0),
+        streamed: s.flag("streamed", Some(false)),
+    }
+}
+
+fn release(s: &Sheet, marshals: usize) -> ReleaseTerms {
+    let shares = s.numbers("shares", Some(vec![0.1, 0.35, 1.0]), 0.0..=1.0);
+    let caps = s.numbers("caps", Some(vec![0.14, 0.49, 1.0]), 0.0..=1.0);
+    if shares.len() != caps.len() || shares.is_empty() {
+        let what = format!(
+            "caps has {} stages and shares {}: write one of each for every stage",
+            caps.len(),
+            shares.len()
+        );
+        s.complain(Some("caps"), what);
+    }
+    let most = marshals as u64;
+    ReleaseTerms {
+        control: s.one_of(
+            "control",
+            Some(Control::Votes),
+            &[("votes", Control::Votes), ("clock", Control::Clock)],
+        ),
+        on_votes: s.whole("on_votes", Some(most.div_ceil(2)), 1..=most) as usize,
+        back_votes: s.whole("back_votes", Some(most.div_ceil(3)), 1..=most) as usize,
+        shares,
+        caps,
+        window: s.span("window", Some(Duration::from_secs(3))),
+        free: s.number("free", Some(2.0), 0.0..=1e6),
+        by_method: s.flag("by_method", Some(false)),
+        guarded_stages: s.whole("guarded_stages", Some(0), 0..=100) as usize,
+        one_way: s.flag("one_way", Some(false)),
+        in_place: s.flag("in_place", Some(false)),
+        bake: s.span("bake", Some(Duration::from_secs(1))),
+        vote_life: s.span("vote_life", Some(Duration::from_secs(4))),
+        vote_wait: s.span("vote_wait", Some(Duration::from_millis(800))),
+        vote_rate: s.number("vote_rate", Some(80.0), 0.1..=1e6),
+        flag_share: s.number("flag_share", Some(0.0), 0.0..=1.0),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn complaints(text: &str) -> Vec<String> {
+        read("edge.hcl", text).unwrap_err().0.iter().map(|c| c.to_string()).collect()
+    }
+
+    #[test]
+    fn the_example_is_right() {
+        let terms = read("example.hcl", EXAMPLE).unwrap();
+        assert_eq!(terms.methods, ["calendar-read", "calendar-save", "pickup-book"]);
+        assert_eq!(terms.rollout.methods[2].repeat, Repeat::NonIdempotent);
+    }
+
+    #[test]
+    fn every_fault_is_named_with_its_place_and_what_to_write() {
+        let bad = EXAMPLE
+            .replace("soft_deadline = \"800ms\"", "soft_deadline = 800")
+            .replace("fall_multiple", "fall_multipel")
+            .replace("repeat = \"non-idempotent\"", "repeat = \"never\"")
+            .replace("listen = \"127.0.0.1:7100\"", "listen = \"here\"");
+        let found = complaints(&bad);
+        let line = |what: &str| bad.lines().position(|l| l.contains(what)).unwrap() + 1;
+        let has = |at: usize, what: &str| {
+            assert!(
+                found.iter().any(|f| f.starts_with(&format!("edge.hcl:{at}:")) && f.contains(what)),
+                "{at} {what}: {found:#?}"
+            );
+        };
+        has(line("listen"), "write \"address:port\"");
+        has(line("soft_deadline = 800"), "as in \"800ms\"");
+        has(line("\"never\""), "\"idempotent\" or \"tokened\"");
+        has(line("multipel"), "did you mean fall_multiple?");
+    }
+
+    #[test]
+    fn broken_hcl_and_missing_keys_are_placed() {
+        assert!(complaints("marshal {\n  number = \n}\n")[0].starts_with("edge.hcl:2:"));
+        let found = complaints("method \"a\" {\n}\n").join("\n");
+        for key in ["listen", "soft_deadline", "repeat", "service"] {
+            assert!(found.contains(&format!("{key} is missing")), "{key}: {found}");
+        }
+        let twice = complaints(&format!("{EXAMPLE}\nmarshal {{\n}}\n")).join("\n");
+        assert!(twice.contains("marshal stands twice"), "{twice}");
+    }
+}
