--- /dev/null
+++ b/crates/marshal/src/lib.rs
@@ -0,0 +1,552 @@
+//! The core of a marshal, between its sockets and the decision module: it keeps the table of RPCs and picks,
+//! gives names small indices, hands events to the module and its actions out as [`Order`]s. It has no socket,
+//! clock or thread: `Core::handle(now, input) -> orders`.
+//!
+//! It decides nothing that the module decides. Three things are its own, as they are facts rather than
+//! choices: which [`Outcome`] a socket's story proves, that an RPC gets one final answer only, and that an RPC
+//! whose time is up while the module is silent is aborted.
+#![forbid(unsafe_code)]
+
+mod directory;
+mod rpcs;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ivydrift_policy::policy::Marshal;
+use ivydrift_policy::port::*;
+use ivydrift_terms::Terms;
+use ivydrift_wire::{desk, list, orca, peer};
+
+use directory::Directory;
+pub use directory::Rejected;
+use rpcs::Rpcs;
+
+/// An RPC, by the shell's number; never reused.
+pub type Id = u64;
+
+/// What a client asks.
+#[derive(Clone, Copy, Debug)]
+pub struct Call<'a> {
+    pub method: &'a str,
+    pub tenant: Option<&'a str>,
+    pub key: Option<u64>,
+    /// It carries a token.
+    pub tokened: bool,
+    /// How long the client will wait; none where it did not say.
+    pub left: Option<Duration>,
+    /// The client says that it tried before.
+    pub repeated: bool,
+}
+
+/// What was seen on the socket of a pick.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Saw {
+    /// A whole answer. `never_ran`: the node gave its word that it turned the RPC away unseen.
+    Answer {
+        status: u16,
+        never_ran: bool,
+        load: orca::Metrics,
+    },
+    /// No connection stood in time, or it failed before one byte of the RPC was handed to it.
+    NotSent,
+    /// The connection broke after a byte may have left, whatever came back.
+    Broken,
+    /// What came back is not HTTP.
+    Garbled,
+    TimedOut,
+    /// We closed the connection ourselves, as ordered.
+    Severed,
+}
+
+impl Saw {
+    /// What it proves of the pick.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            // Only a refusal can carry the node's word: an ok that "never ran" contradicts itself.
+            Saw::Answer { status: 503, never_ran: true, .. } => Outcome::Full,
+            Saw::Answer { status, .. } if status < 500 => Outcome::Ok,
+            Saw::Answer { .. } | Saw::Garbled => Outcome::Error,
+            Saw::NotSent => Outcome::NoConnection,
+            Saw::Broken => Outcome::Reset,
+            Saw::TimedOut => Outcome::Timeout,
+            Saw::Severed => Outcome::Cancelled,
+        }
+    }
+
+    fn load(self) -> Load {
+        let Saw::Answer { load, .. } = self else { return Load::default() };
+        Load {
+            in_flight: load.in_flight,
+            queue: load.queue,
+            busy: load.cpu_utilization,
+            latency: load.latency_ms,
+            rate: load.rps,
+            errors: load.eps,
+        }
+    }
+}
+
+/// How the desk answered a vote.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ballot {
+    Answered(desk::VoteAnswer),
+    /// The desk said that it failed.
+    Failed,
+    /// No answer; the vote may count.
+    Silent,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Input<'a> {
+    Rpc {
+        id: Id,
+        call: Call<'a>,
+    },
+    /// The answer of a pick is too long to be held: its head may go out now, the rest follows.
+    Began {
+        id: Id,
+        pick: usize,
+    },
+    Ended {
+        id: Id,
+        pick: usize,
+        saw: Saw,
+    },
+    ClientLeft {
+        id: Id,
+    },
+    List(&'a [list::Listed]),
+    /// The subscription to the list broke, or could not be had.
+    ListLost,
+    News(&'a desk::News),
+    Voted(Ballot),
+    /// A datagram from another marshal.
+    Peer(&'a [u8]),
+    /// Time has passed, see [`Core::due`].
+    Tick,
+}
+
+/// Why an RPC has no ok.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// No pick was made, or none that could have run.
+    NoRoom,
+    /// The last pick ended in an error, or its connection broke.
+    Failed,
+    /// The last pick was not answered in time.
+    TimedOut,
+}
+
+impl Why {
+    pub fn word(self) -> &'static str {
+        match self {
+            Why::NoRoom => "no-room",
+            Why::Failed => "failed",
+            Why::TimedOut => "timed-out",
+        }
+    }
+}
+
+/// What the shell must do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Send the RPC to a node, and report [`Input::Ended`] once, within the time at the latest.
+    Pick {
+        id: Id,
+        pick: usize,
+        node: SocketAddr,
+        within: Duration,
+    },
+    /// The final answer is this pick's: hand it to the client.
+    Pass {
+        id: Id,
+        pick: usize,
+        picks: usize,
+        build: Build,
+    },
+    /// The final answer: try again later, nothing ran or running twice does no harm.
+    PushBack {
+        id: Id,
+        picks: usize,
+        retry_after: Option<Duration>,
+        why: Why,
+    },
+    /// The final answer: failed, with no promise.
+    Abort {
+        id: Id,
+        picks: usize,
+        why: Why,
+    },
+    /// The final answer to what is no RPC of ours: a status and a sentence.
+    Reject {
+        id: Id,
+        status: u16,
+        why: &'static str,
+    },
+    /// A passed answer broke off: end the client's connection so that it cannot take it for whole.
+    BreakOff {
+        id: Id,
+    },
+    /// Nobody waits for this pick any more: close its connection, and report it ended.
+    Sever {
+        id: Id,
+        pick: usize,
+    },
+    CloseIdle {
+        node: SocketAddr,
+    },
+    Tell {
+        to: usize,
+        datagram: Vec<u8>,
+    },
+    Vote(desk::Vote),
+    /// Ask the node list, and stay subscribed.
+    Watch,
+    Log(String),
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub rpcs: u64,
+    pub ok: u64,
+    pub pushed_back: u64,
+    pub aborted: u64,
+    pub left: u64,
+    pub rejected: u64,
+    pub picks: u64,
+    /// RPCs that had to be ended here since the module had not by their time.
+    pub overdue: u64,
+    pub held: usize,
+}
+
+pub struct Core {
+    policy: Marshal,
+    terms: Terms,
+    directory: Directory,
+    rpcs: Rpcs,
+    wakes: BTreeSet<(Duration, u64)>,
+    counts: Counts,
+    /// Unix time at the shell's zero, in milliseconds.
+    zero_ms: u64,
+    /// A list that waits for the first news of the desk, and when the first such came.
+    early: Option<(Duration, Event)>,
+    desk_heard: bool,
+}
+
+/// Before the desk has said anything a marshal does not know what is on trial. After this long the oldest build
+/// listed is taken as released, so that all later ones are held to the first stage's cap.
+const DESK_PATIENCE: Duration = Duration::from_secs(2);
+
+/// How long past an RPC's time the module is given to end it before the core does, at most; the rest of the
+/// reserve is for the answer's way.
+const OVERDUE: Duration = Duration::from_millis(5);
+
+impl Core {
+    /// `zero_ms` is the Unix time of the shell's zero. Let zero lie well before the start, so that nodes which
+    /// started earlier have an age.
+    pub fn new(terms: Terms, zero_ms: u64) -> Self {
+        Core {
+            policy: Marshal::new(&terms.rollout),
+            directory: Directory::new(&terms),
+            rpcs: Rpcs::default(),
+            wakes: BTreeSet::new(),
+            counts: Counts::default(),
+            zero_ms,
+            early: None,
+            desk_heard: false,
+            terms,
+        }
+    }
+
+    pub fn counts(&self) -> Counts {
+        Counts { held: self.rpcs.len(), ..self.counts }
+    }
+
+    /// What was wrong with the latest list, node by node.
+    pub fn rejected(&self) -> &[Rejected] {
+        &self.directory.rejected
+    }
+
+    /// When [`Input::Tick`] is due next.
+    pub fn due(&self) -> Duration {
+        let wake = self.wakes.first().map(|w| w.0);
+        let overdue = self.rpcs.first_overdue();
+        let early = self.early.as_ref().map(|e| e.0 + DESK_PATIENCE);
+        wake.into_iter().chain(overdue).chain(early).min().unwrap_or(Duration::ZERO)
+    }
+
+    pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let mut events = Vec::new();
+        self.read(now, input, &mut events, &mut orders);
+        // The module wants a first call before anything else, to set its timers.
+        while self.act(now, std::mem::take(&mut events), &mut events, &mut orders) {}
+        orders
+    }
+
+    fn read(&mut self, now: Duration, input: Input, events: &mut Vec<Event>, orders: &mut Vec<Order>) {
+        match input {
+            Input::Rpc { id, call } => self.take(now, id, call, events, orders),
+            Input::Began { id, pick } => {
+                if let Some((rpc, sent)) = self.rpcs.begin(id, pick) {
+                    let (node, took) = (sent.node, now.saturating_sub(sent.at));
+                    events.push(Event::StreamBegun { rpc, pick, node, took });
+                    self.counts.ok += 1;
+                    orders.push(Order::Pass { id, pick, picks: sent.picks, build: sent.build });
+                }
+            }
+            Input::Ended { id, pick, saw } => self.ended(now, id, pick, saw, events, orders),
+            Input::ClientLeft { id } => {
+                let Some(left) = self.rpcs.leave(id) else { return };
+                self.counts.left += 1;
+                events.push(Event::ClientLeft { rpc: left.rpc });
+                if self.terms.rollout.limits.cancel {
+                    orders.extend(left.out.into_iter().map(|pick| Order::Sever { id, pick }));
+                }
+            }
+            Input::List(nodes) => {
+                let event = self.directory.take(now, self.zero_ms, nodes);
+                if self.desk_heard {
+                    events.push(event);
+                } else {
+                    let since = self.early.as_ref().map_or(now, |e| e.0);
+                    self.early = Some((since, self.directory.whole()));
+                }
+            }
+            Input::ListLost => events.push(Event::Nodes { scope: Scope::Failed, nodes: vec![] }),
+            Input::News(news) => {
+                self.news(news, events);
+                if news.stage.is_some() {
+                    self.desk_heard = true;
+                    events.extend(self.early.take().map(|e| e.1));
+                }
+            }
+            Input::Voted(ballot) => events.extend(self.voted(ballot)),
+            Input::Peer(datagram) => {
+                if let Some((from, text)) = peer::read(datagram) {
+                    let from = usize::from(from);
+                    if from < self.terms.rollout.marshals && from != self.terms.rollout.marshal {
+                        events.push(Event::Peer { from, text: text.to_vec() });
+                    }
+                }
+            }
+            Input::Tick => {
+                if self.early.as_ref().is_some_and(|e| now >= e.0 + DESK_PATIENCE) {
+                    let (course, reply) = (Course::Released, VoteReply::Unasked);
+                    let (build, stage, age) = (self.directory.oldest(), 0, Duration::ZERO);
+                    events.push(Event::Stage { build, stage, course, reply, cap: 1.0, age });
+                    events.extend(self.early.take().map(|e| e.1));
+                    self.desk_heard = true;
+                    let line = "the release desk is silent: the oldest build listed is taken as released";
+                    orders.push(Order::Log(line.to_owned()));
+                }
+                while let Some(&(at, tag)) = self.wakes.first().filter(|w| w.0 <= now) {
+                    self.wakes.remove(&(at, tag));
+                    events.push(Event::Timer { tag });
+                }
+                for id in self.rpcs.overdue(now) {
+                    self.overdue(now, id, events, orders);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: Duration, id: Id, call: Call, events: &mut Vec<Event>, orders: &mut Vec<Order>) {
+        let Some(method) = self.terms.methods.iter().position(|m| m == call.method) else {
+            self.counts.rejected += 1;
+            orders.push(Order::Reject { id, status: 404, why: "no such method: the path names it" });
+            return;
+        };
+        let terms = &self.terms.rollout.methods[method];
+        if matches!(terms.repeat, Repeat::Tokened { .. }) && !call.tokened {
+            self.counts.rejected += 1;
+            let why = "this method is tokened: send an Idempotency-Key";
+            orders.push(Order::Reject { id, status: 400, why });
+            return;
+        }
+        // The answer must be on its way before the client's time is up.
+        let left = call.left.unwrap_or(terms.deadline).min(terms.deadline);
+        let reserve = self.terms.bounds.reserve.min(left / 4);
+        let left = left.saturating_sub(reserve);
+        let tenants = &self.terms.tenants;
+        let tenant = call.tenant.and_then(|name| tenants.iter().position(|t| t == name));
+        let careful = terms.repeat == Repeat::NonIdempotent;
+        let rpc = self.rpcs.take(id, now + left + OVERDUE.min(reserve / 2), careful);
+        self.counts.rpcs += 1;
+        let (key, repeated) = (call.key, call.repeated);
+        events.push(Event::Rpc { rpc, method, tenant, key, left, work: None, repeated });
+    }
+
+    fn ended(
+        &mut self, now: Duration, id: Id, pick: usize, saw: Saw, events: &mut Vec<Event>,
+        orders: &mut Vec<Order>,
+    ) {
+        let outcome = saw.outcome();
+        // A second report of one pick, or one of a pick given up by us, says nothing new.
+        let Some(end) = self.rpcs.end_pick(id, pick, outcome == Outcome::Ok) else { return };
+        let took = now.saturating_sub(end.sent.at);
+        if outcome == Outcome::Ok && end.wins {
+            self.counts.ok += 1;
+            orders.push(Order::Pass { id, pick, picks: end.sent.picks, build: end.sent.build });
+        }
+        if end.streaming && outcome != Outcome::Ok {
+            orders.push(Order::BreakOff { id });
+        }
+        let (rpc, node, load, done) = (end.rpc, end.sent.node, saw.load(), end.done);
+        self.rpcs.note(id, outcome);
+        events.push(Event::PickEnded { rpc, pick, node, outcome, took, done, load });
+        self.rpcs.sweep(id);
+    }
+
+    /// The module has not ended this RPC in its time. It must not stay without an answer.
+    fn overdue(&mut self, now: Duration, id: Id, events: &mut Vec<Event>, orders: &mut Vec<Order>) {
+        let Some(late) = self.rpcs.cut(id) else { return };
+        let (picks, why) = (late.picks, late.why);
+        self.counts.overdue += 1;
+        self.counts.aborted += 1;
+        events.push(Event::ClientLeft { rpc: late.rpc });
+        for (pick, sent) in late.out {
+            let (rpc, node, took) = (late.rpc, sent.node, now.saturating_sub(sent.at));
+            let (outcome, load) = (Outcome::Timeout, Load::default());
+            events.push(Event::PickEnded { rpc, pick, node, outcome, took, done: true, load });
+            orders.push(Order::Sever { id, pick });
+        }
+        orders.push(Order::Abort { id, picks, why });
+    }
+
+    fn news(&mut self, news: &desk::News, events: &mut Vec<Event>) {
+        events.extend(news.stage.map(|stage| stage_event(&stage, VoteReply::Unasked)));
+        let methods = &self.terms.methods;
+        for sums in &news.sums {
+            let Some(method) = methods.iter().position(|m| *m == sums.method) else { continue };
+            let mean = Duration::try_from_secs_f64(sums.mean_ms / 1000.0).unwrap_or_default();
+            let age = Duration::from_millis(sums.age_ms);
+            let (build, picks, failed) = (sums.build, sums.picks, sums.failed.min(sums.picks));
+            events.push(Event::Sums { build, method, picks, failed, mean, age });
+        }
+        for disputed in &news.disputed {
+            let method = methods.iter().position(|m| *m == disputed.method);
+            let node = disputed.node.parse().ok().and_then(|addr| self.directory.find(addr));
+            if let (Some(method), Some(node)) = (method, node) {
+                events.push(Event::Disputed { node, method, age: Duration::from_millis(disputed.age_ms) });
+            }
+        }
+    }
+
+    fn voted(&self, ballot: Ballot) -> Option<Event> {
+        let stand = |reply| {
+            let (build, stage, course) = (0, 0, Course::Withdrawn);
+            Event::Stage { build, stage, course, reply, cap: 0.0, age: Duration::ZERO }
+        };
+        Some(match ballot {
+            // The module reads the standing only from answers that count.
+            Ballot::Failed => stand(VoteReply::Error),
+            Ballot::Silent => stand(VoteReply::Silent),
+            Ballot::Answered(answer) => {
+                let reply = match answer.counted {
+                    desk::Counted::Counts => VoteReply::Counts,
+                    desk::Counted::Moot => VoteReply::Moot,
+                    desk::Counted::Full => VoteReply::Full,
+                    desk::Counted::Error => VoteReply::Error,
+                };
+                stage_event(&answer.stage, reply)
+            }
+        })
+    }
+
+    /// Hands events to the module and carries its actions into orders; true while that made new events.
+    fn act(
+        &mut self, now: Duration, events: Vec<Event>, more: &mut Vec<Event>, orders: &mut Vec<Order>,
+    ) -> bool {
+        for action in self.policy.handle(now, events) {
+            match action {
+                Action::Pick { rpc, node, within } => self.pick(now, rpc, node, within, more, orders),
+                Action::PushBack { rpc, retry_after } => {
+                    if let Some((id, picks, why)) = self.rpcs.answer(rpc) {
+                        self.counts.pushed_back += 1;
+                        orders.push(Order::PushBack { id, picks, retry_after, why });
+                    }
+                }
+                Action::Abort { rpc } => {
+                    if let Some((id, picks, why)) = self.rpcs.answer(rpc) {
+                        self.counts.aborted += 1;
+                        orders.push(Order::Abort { id, picks, why });
+                    }
+                }
+                Action::Cancel { rpc, pick } => {
+                    orders.extend(self.rpcs.id(rpc).map(|id| Order::Sever { id, pick }));
+                }
+                Action::Wake { after, tag } => {
+                    self.wakes.insert((now + after, tag));
+                }
+                Action::CloseIdle { node } => {
+                    orders.extend(self.directory.addr(node).map(|node| Order::CloseIdle { node }));
+                }
+                Action::Tell { to, text } => self.tell(to, &text, orders),
+                Action::Log(line) => orders.push(Order::Log(line)),
+                Action::Subscribe(true) | Action::FetchList => orders.push(Order::Watch),
+                // Leaving the list and probing are not spoken here: terms.probes is never set.
+                Action::Subscribe(false) | Action::Probe { .. } => {}
+                Action::Vote { verdict, stage, build } => {
+                    let verdict = match verdict {
+                        Verdict::None => desk::Verdict::None,
+                        Verdict::On => desk::Verdict::On,
+                        Verdict::Hold => desk::Verdict::Hold,
+                        Verdict::Back => desk::Verdict::Back,
+                    };
+                    let (marshal, stage) = (self.terms.rollout.marshal as u32, stage as u32);
+                    orders.push(Order::Vote(desk::Vote { marshal, verdict, stage, build }));
+                }
+            }
+        }
+        !more.is_empty()
+    }
+
+    fn pick(
+        &mut self, now: Duration, rpc: RpcIx, node: NodeIx, within: Duration, more: &mut Vec<Event>,
+        orders: &mut Vec<Order>,
+    ) {
+        let build = self.directory.build(node);
+        let Some((id, pick)) = self.rpcs.send(rpc, node, build, now) else {
+            return;
+        };
+        match (self.rpcs.open(id), self.directory.addr(node)) {
+            (true, Some(addr)) => {
+                self.counts.picks += 1;
+                let careful = self.rpcs.careful(id);
+                orders.push(Order::Pick { id, pick, node: addr, within, careful });
+            }
+            _ => {
+                // Ended in this very batch: the pick is not issued, and the module is told so.
+                self.rpcs.end_pick(id, pick, false);
+                let (outcome, load) = (Outcome::Moot, Load::default());
+                let took = Duration::ZERO;
+                more.push(Event::PickEnded { rpc, pick, node, outcome, took, done: true, load });
+                self.rpcs.sweep(id);
+            }
+        }
+    }
+
+    fn tell(&self, to: Option<usize>, text: &[u8], orders: &mut Vec<Order>) {
+        let own = self.terms.rollout.marshal;
+        let Some(datagram) = peer::write(own as u16, text) else { return };
+        let all = 0..self.terms.places.peers.len();
+        for to in all.filter(|&n| n != own && to.is_none_or(|one| one == n)) {
+            orders.push(Order::Tell { to, datagram: datagram.clone() });
+        }
+    }
+}
+
+fn stage_event(stage: &desk::Stage, reply: VoteReply) -> Event {
+    let course = match stage.course {
+        desk::Course::OnTrial => Course::OnTrial,
+        desk::Course::GoingBack => Course::GoingBack,
+        desk::Course::Released => Course::Released,
+        desk::Course::Withdrawn => Course::Withdrawn,
+    };
+    let age = Duration::from_millis(stage.age_ms);
+    Event::Stage { build: stage.build, stage: stage.stage as usize, course, reply, cap: stage.cap, age }
+}
--- /dev/null
+++ b/crates/marshal/src/rpcs.rs
@@ -0,0 +1,198 @@
+//! The table of RPCs and their picks. Here it is settled that an RPC gets one final answer and no more.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use ivydrift_policy::port::*;
+
+use crate::{Id, Why};
+
+/// A pick as it was sent. `picks`: how many the RPC had by then.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sent {
+    pub node: NodeIx,
+    pub build: Build,
+    pub at: Duration,
+    pub picks: usize,
+}
+
+struct Held {
+    rpc: RpcIx,
+    until: Duration,
+    careful: bool,
+    picks: Vec<(Sent, bool)>,
+    /// It has its final answer, or its client has left.
+    over: bool,
+    /// This pick's answer is passing to the client.
+    streaming: Option<usize>,
+    last: Option<Outcome>,
+}
+
+impl Held {
+    fn out(&self) -> impl Iterator<Item = (usize, Sent)> + '_ {
+        self.picks.iter().enumerate().filter(|(_, p)| p.1).map(|(i, p)| (i, p.0))
+    }
+
+    fn why(&self) -> Why {
+        match self.last {
+            None | Some(Outcome::Full | Outcome::NoConnection | Outcome::Moot) => Why::NoRoom,
+            Some(Outcome::Timeout) => Why::TimedOut,
+            Some(_) => Why::Failed,
+        }
+    }
+}
+
+/// How a pick's end stands to its RPC.
+pub struct End {
+    pub rpc: RpcIx,
+    pub sent: Sent,
+    /// Its answer is the final one, and was not passed before.
+    pub wins: bool,
+    /// Its answer had begun to pass.
+    pub streaming: bool,
+    /// The RPC has its final answer, by this or earlier.
+    pub done: bool,
+}
+
+pub struct Cut {
+    pub rpc: RpcIx,
+    pub out: Vec<(usize, Sent)>,
+    pub picks: usize,
+    pub why: Why,
+}
+
+pub struct Left {
+    pub rpc: RpcIx,
+    pub out: Vec<usize>,
+}
+
+#[derive(Default)]
+pub struct Rpcs {
+    held: HashMap<Id, Held>,
+    ids: HashMap<RpcIx, Id>,
+    next: RpcIx,
+    /// RPCs that still need an answer, by when the module must have given it.
+    until: BTreeSet<(Duration, Id)>,
+}
+
+impl Rpcs {
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    pub fn first_overdue(&self) -> Option<Duration> {
+        self.until.first().map(|u| u.0)
+    }
+
+    pub fn take(&mut self, id: Id, until: Duration, careful: bool) -> RpcIx {
+        while self.ids.contains_key(&self.next) {
+            self.next = self.next.wrapping_add(1);
+        }
+        let rpc = self.next;
+        self.next = self.next.wrapping_add(1);
+        let held = Held { rpc, until, careful, picks: Vec::new(), over: false, streaming: None, last: None };
+        self.held.insert(id, held);
+        self.ids.insert(rpc, id);
+        self.until.insert((until, id));
+        rpc
+    }
+
+    pub fn id(&self, rpc: RpcIx) -> Option<Id> {
+        self.ids.get(&rpc).copied()
+    }
+
+    /// It must not run twice.
+    pub fn careful(&self, id: Id) -> bool {
+        self.held.get(&id).is_some_and(|h| h.careful)
+    }
+
+    /// The RPC still needs an answer.
+    pub fn open(&self, id: Id) -> bool {
+        self.held.get(&id).is_some_and(|h| !h.over)
+    }
+
+    pub fn send(&mut self, rpc: RpcIx, node: NodeIx, build: Build, at: Duration) -> Option<(Id, usize)> {
+        let id = self.id(rpc)?;
+        let held = self.held.get_mut(&id)?;
+        let picks = held.picks.len() + 1;
+        held.picks.push((Sent { node, build, at, picks }, true));
+        Some((id, picks - 1))
+    }
+
+    /// The final answer is ours: none where the RPC has one already.
+    pub fn answer(&mut self, rpc: RpcIx) -> Option<(Id, usize, Why)> {
+        let id = self.id(rpc)?;
+        let held = self.held.get_mut(&id).filter(|h| !h.over)?;
+        held.over = true;
+        let said = (id, held.picks.len(), held.why());
+        self.until.remove(&(held.until, id));
+        self.sweep(id);
+        Some(said)
+    }
+
+    pub fn begin(&mut self, id: Id, pick: usize) -> Option<(RpcIx, Sent)> {
+        let held = self.held.get_mut(&id).filter(|h| !h.over)?;
+        let sent = held.picks.get(pick).filter(|p| p.1)?.0;
+        (held.over, held.streaming) = (true, Some(pick));
+        self.until.remove(&(held.until, id));
+        Some((held.rpc, Sent { picks: held.picks.len(), ..sent }))
+    }
+
+    pub fn end_pick(&mut self, id: Id, pick: usize, ok: bool) -> Option<End> {
+        let held = self.held.get_mut(&id)?;
+        let slot = held.picks.get_mut(pick).filter(|p| p.1)?;
+        slot.1 = false;
+        let sent = slot.0;
+        let wins = ok && !held.over;
+        if wins {
+            held.over = true;
+            self.until.remove(&(held.until, id));
+        }
+        let streaming = held.streaming == Some(pick);
+        let sent = Sent { picks: held.picks.len(), ..sent };
+        Some(End { rpc: held.rpc, sent, wins, streaming, done: held.over })
+    }
+
+    pub fn note(&mut self, id: Id, outcome: Outcome) {
+        if let Some(held) = self.held.get_mut(&id) {
+            held.last = Some(outcome);
+        }
+    }
+
+    /// The client has left: no answer is owed.
+    pub fn leave(&mut self, id: Id) -> Option<Left> {
+        let held = self.held.get_mut(&id)?;
+        let owed = !held.over;
+        held.over = true;
+        let left = Left { rpc: held.rpc, out: held.out().map(|(pick, _)| pick).collect() };
+        self.until.remove(&(held.until, id));
+        self.sweep(id);
+        Some(left).filter(|l| owed || !l.out.is_empty())
+    }
+
+    /// RPCs without an answer that the module should have ended by `now`.
+    pub fn overdue(&self, now: Duration) -> Vec<Id> {
+        self.until.iter().take_while(|u| u.0 <= now).map(|u| u.1).collect()
+    }
+
+    /// Ends an RPC and its picks.
+    pub fn cut(&mut self, id: Id) -> Option<Cut> {
+        let held = self.held.get_mut(&id).filter(|h| !h.over)?;
+        held.over = true;
+        let out: Vec<_> = held.out().collect();
+        held.picks.iter_mut().for_each(|p| p.1 = false);
+        let why = if out.is_empty() { held.why() } else { Why::TimedOut };
+        let cut = Cut { rpc: held.rpc, out, picks: held.picks.len(), why };
+        self.until.remove(&(held.until, id));
+        self.sweep(id);
+        Some(cut)
+    }
+
+    /// Forgets an RPC that is over and has no pick out.
+    pub fn sweep(&mut self, id: Id) {
+        if let Some(held) = self.held.get(&id).filter(|h| h.over && h.out().next().is_none()) {
+            self.ids.remove(&held.rpc);
+            self.held.remove(&id);
+        }
+    }
+}
--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -125,6 +125,7 @@
 mod tests {
     use super::*;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     /// Content and length of the body at the front of `bytes`, handed over in parts of `step` bytes.
     fn walk(framing: Framing, bytes: &[u8], step: usize) -> Result<(Vec<u8>, usize), Refusal> {
@@ -155,7 +156,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+        #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(10), ..ProptestConfig::with_cases(256) })]
         /// Chunks of any sizes, cut anywhere, give back the content and leave the next message alone.
         #[test]
         fn chunks_are_walked(parts in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 1..40), 0..6),
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -292,6 +292,7 @@
 mod tests {
     use super::*;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     fn status(text: &str) -> u16 {
         request(text.as_bytes()).unwrap_err().status
@@ -344,7 +345,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+        #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(10), ..ProptestConfig::with_cases(512) })]
         /// However a head arrives, it is read once whole and to the same result.
         #[test]
         fn a_head_in_parts_is_the_same_head(cut in 0usize..60, junk in proptest::collection::vec(any::<u8>(), 0..40)) {
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -98,6 +98,7 @@
 mod tests {
     use super::*;
     use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
 
     #[test]
     fn timeouts_that_are_not_of_the_form_are_refused() {
@@ -109,7 +110,7 @@
     }
 
     proptest! {
-        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+        #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(10), ..ProptestConfig::default() })]
         #[test]
         fn a_timeout_passed_on_is_never_longer(us in 0u64..90_000_000_000_000) {
             let span = Duration::from_micros(us);
