--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -153,11 +153,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
     /// Send the RPC to a node, and report [`Input::Ended`] once, within the time at the latest.
+    /// `careful`: it must not run twice, so a connection that may have died unseen is not for it.
     Pick {
         id: Id,
         pick: usize,
         node: SocketAddr,
         within: Duration,
+        careful: bool,
     },
     /// The final answer is this pick's: hand it to the client.
     Pass {
