ivydrift-edge: the marshal on real sockets, a thin shell on may coroutines

Change: crates/edge takes RPCs over HTTP/1.1, feeds the core and carries out its orders: one coroutine a client connection, which also carries the picks; a pool of connections to nodes; node list and desk by blocking queries; votes; peers over UDP; SIGTERM finishes what is held. may's own read wants a stream alone, so waiting goes through peek and a connection costs one descriptor.

--- /dev/null
+++ b/crates/edge/src/clients.rs
@@ -0,0 +1,407 @@
+//! The clients' side: connections, RPCs read whole, and their one final answer written.
+
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use ivydrift_marshal::{Call, Id, Input, Order, Saw};
+use ivydrift_wire::body::{Part, Walk};
+use ivydrift_wire::http::{self, HeadWriter, Refusal, Request};
+use ivydrift_wire::rpc;
+use may::net::TcpListener;
+use may::sync::Semphore;
+
+use crate::coroutine::{go, pause};
+use crate::exchange::{Answer, Handle, Outgoing, Pick, Sink};
+use crate::socket::Socket;
+use crate::Edge;
+
+/// A client that takes none of its answer for this long is cut off.
+const SLOW_READER: Duration = Duration::from_secs(10);
+
+/// One client connection, as the rest of the shell sees it.
+pub struct Client {
+    pub socket: Socket,
+    /// It waits for its client to speak, and may be closed at any time.
+    pub idle: AtomicBool,
+    /// Orders for the RPC in hand that came out of somebody else's events.
+    mail: Mutex<VecDeque<Mail>>,
+    wake: Semphore,
+    /// The pick in hand: its number, its connection, and whether it was severed.
+    pick: Mutex<(usize, Option<Arc<Socket>>, bool)>,
+    /// The client has left while its RPC was in hand.
+    gone: AtomicBool,
+}
+
+enum Mail {
+    Order(Order),
+    Gone,
+}
+
+impl Client {
+    fn new(socket: Socket) -> Self {
+        Client {
+            socket,
+            idle: AtomicBool::new(true),
+            mail: Mutex::default(),
+            wake: Semphore::new(0),
+            pick: Mutex::default(),
+            gone: AtomicBool::new(false),
+        }
+    }
+
+    /// Takes an order from another coroutine. Cutting off the pick in hand cannot wait for the mail.
+    pub fn post(&self, order: Order) {
+        if let Order::Sever { pick, .. } = order {
+            let mut hand = self.pick.lock().unwrap();
+            if hand.0 == pick {
+                hand.2 = true;
+                if let Some(socket) = &hand.1 {
+                    socket.cut();
+                }
+            }
+            return;
+        }
+        self.mail.lock().unwrap().push_back(Mail::Order(order));
+        self.wake.post();
+    }
+
+    /// The client was seen to leave.
+    pub fn leave(&self) {
+        self.gone.store(true, Ordering::Release);
+        self.mail.lock().unwrap().push_back(Mail::Gone);
+        self.wake.post();
+    }
+
+    fn next(&self) -> Option<Mail> {
+        self.mail.lock().unwrap().pop_front()
+    }
+}
+
+impl Handle for Client {
+    fn hold(&self, socket: &Arc<Socket>) -> bool {
+        let mut hand = self.pick.lock().unwrap();
+        hand.1 = Some(socket.clone());
+        !hand.2
+    }
+
+    fn severed(&self) -> bool {
+        self.pick.lock().unwrap().2
+    }
+}
+
+pub fn accept(edge: &Arc<Edge>, listener: &TcpListener) {
+    let number = AtomicU64::new(0);
+    loop {
+        let stream = match listener.accept() {
+            _ if edge.stopping() => return,
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                // Out of descriptors, most likely: those that wait in the queue keep their place.
+                tracing::warn!(error = %e, "cannot accept");
+                edge.pool.tidy(true);
+                pause(Duration::from_millis(20));
+                continue;
+            }
+        };
+        let client = Arc::new(Client::new(Socket::new(stream)));
+        let name = number.fetch_add(1, Ordering::Relaxed);
+        if !edge.enter(name, &client) {
+            continue;
+        }
+        let edge = edge.clone();
+        go(move || {
+            let gentle = Connection { edge: &edge, client: &client, buf: Vec::new() }.run();
+            if gentle {
+                client.socket.close_gently(Duration::from_millis(500));
+            }
+            client.socket.cut();
+            edge.leave(name);
+        });
+    }
+}
+
+struct Connection<'a> {
+    edge: &'a Arc<Edge>,
+    client: &'a Arc<Client>,
+    buf: Vec<u8>,
+}
+
+/// Why a message was not read.
+enum Unread {
+    /// The client closed, or said nothing for too long.
+    Over,
+    Refused(Refusal),
+}
+
+impl Connection<'_> {
+    /// Serves until the connection ends; true where our last answer may still be on its way.
+    fn run(mut self) -> bool {
+        loop {
+            self.client.idle.store(true, Ordering::Release);
+            if self.edge.stopping() && self.buf.is_empty() {
+                return true;
+            }
+            let (request, began) = match self.head() {
+                Ok(read) => read,
+                Err(Unread::Over) => return false,
+                Err(Unread::Refused(refusal)) => return self.refuse(refusal),
+            };
+            let body = match self.body(&request, began) {
+                Ok(body) => body,
+                Err(Unread::Over) => return false,
+                Err(Unread::Refused(refusal)) => return self.refuse(refusal),
+            };
+            let keep = request.keep_alive && !self.edge.stopping();
+            if matches!(&*request.verb, "CONNECT" | "TRACE") {
+                return self.refuse(Refusal { status: 405, why: "this method is not for RPCs" });
+            }
+            let left = match request.fields.get(rpc::TIMEOUT).map(rpc::read_timeout) {
+                None => None,
+                // The client's time has run since its first byte.
+                Some(Ok(left)) => Some(left.saturating_sub(began.elapsed())),
+                Some(Err(why)) => return self.refuse(Refusal { status: 400, why }),
+            };
+            if !self.serve(request, body, left, keep) {
+                return true;
+            }
+            if !keep {
+                return true;
+            }
+        }
+    }
+
+    /// Reads more by then; false at the end of the stream or of patience.
+    fn fill(&mut self, by: Instant) -> Result<bool, ErrorKind> {
+        let mut part = [0; 4096];
+        match self.client.socket.read(&mut part, Some(by)) {
+            Ok(0) => Ok(false),
+            Ok(n) => {
+                self.buf.extend_from_slice(&part[..n]);
+                Ok(true)
+            }
+            Err(e) => Err(e.kind()),
+        }
+    }
+
+    /// The next head, and when its first byte came.
+    fn head(&mut self) -> Result<(Request, Instant), Unread> {
+        let slow = Refusal { status: 408, why: "the message took too long to arrive" };
+        let bounds = &self.edge.bounds;
+        let mut by = Instant::now() + bounds.idle_client;
+        let mut began = None;
+        loop {
+            // A line break before a head is forgiven (RFC 9112, section 2.2).
+            while self.buf.starts_with(b"\r\n") {
+                self.buf.drain(..2);
+            }
+            if !self.buf.is_empty() && began.is_none() {
+                self.client.idle.store(false, Ordering::Release);
+                began = Some(Instant::now());
+                by = Instant::now() + bounds.slow_client;
+            }
+            match http::request(&self.buf) {
+                Ok(Some((request, used))) => {
+                    self.buf.drain(..used);
+                    return Ok((request, began.unwrap_or_else(Instant::now)));
+                }
+                Ok(None) => {}
+                Err(refusal) => return Err(Unread::Refused(refusal)),
+            }
+            match self.fill(by) {
+                Ok(true) => {}
+                Err(ErrorKind::TimedOut) if began.is_some() => return Err(Unread::Refused(slow)),
+                _ => return Err(Unread::Over),
+            }
+        }
+    }
+
+    fn body(&mut self, request: &Request, began: Instant) -> Result<Vec<u8>, Unread> {
+        let refused = |status, why| Err(Unread::Refused(Refusal { status, why }));
+        let most = self.edge.bounds.body;
+        if matches!(request.framing, http::Framing::Length(n) if n > most as u64) {
+            return refused(413, "the body is longer than this marshal holds (bounds.body_kib)");
+        }
+        let (mut walk, mut body) = (Walk::new(request.framing), Vec::new());
+        if request.expects_continue && !walk.ended() && self.buf.is_empty() {
+            let by = Instant::now() + SLOW_READER;
+            if self.client.socket.write(b"HTTP/1.1 100 Continue\r\n\r\n", by).is_err() {
+                return Err(Unread::Over);
+            }
+        }
+        let by = began + self.edge.bounds.slow_client;
+        loop {
+            match walk.step(&self.buf) {
+                Ok(Part::Data(n)) => {
+                    body.extend(self.buf.drain(..n));
+                    if body.len() > most {
+                        return refused(413, "the body is longer than this marshal holds (bounds.body_kib)");
+                    }
+                }
+                Ok(Part::Mark(n)) => {
+                    self.buf.drain(..n);
+                }
+                Ok(Part::End) => return Ok(body),
+                Ok(Part::Need) => match self.fill(by) {
+                    Ok(true) => {}
+                    Err(ErrorKind::TimedOut) => return refused(408, "the message took too long to arrive"),
+                    _ => return Err(Unread::Over),
+                },
+                Err(refusal) => return Err(Unread::Refused(refusal)),
+            }
+        }
+    }
+
+    /// Says why a message is not taken and closes: where its end is cannot be trusted.
+    fn refuse(&self, refusal: Refusal) -> bool {
+        let head = HeadWriter::response(refusal.status)
+            .field("content-type", "text/plain")
+            .field("content-length", (refusal.why.len() + 1).to_string())
+            .field("connection", "close")
+            .finish();
+        let bytes = [&head[..], refusal.why.as_bytes(), b"\n"].concat();
+        self.client.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok()
+    }
+
+    /// Takes one RPC to its final answer; false where the connection must end.
+    fn serve(&mut self, request: Request, body: Vec<u8>, left: Option<Duration>, keep: bool) -> bool {
+        let (edge, client) = (self.edge, self.client);
+        // Mail for an earlier RPC of this connection is void.
+        client.mail.lock().unwrap().clear();
+        // After a stall, what waited in the socket may be from clients that have long left.
+        if edge.stalled() && client.socket.left() {
+            return false;
+        }
+        let id = edge.next_id();
+        let mut orders: VecDeque<Order> = {
+            let fields = &request.fields;
+            let call = Call {
+                method: rpc::method_of(&request.target),
+                tenant: fields.get(rpc::TENANT),
+                key: fields.get(rpc::KEY).and_then(rpc::key_of),
+                tokened: fields.get(rpc::TOKEN).is_some_and(|t| !t.is_empty()),
+                left,
+                repeated: fields.get(rpc::EARLIER_TRIES).is_some_and(|n| n != "0"),
+            };
+            edge.begin(id, client, Input::Rpc { id, call }).into()
+        };
+        let Request { verb, target, fields, .. } = request;
+        let outgoing = Outgoing { verb, target, fields, body, via: edge.via.clone() };
+        let mut held: Option<(usize, Answer)> = None;
+        let fine = loop {
+            let order = match orders.pop_front().map(Mail::Order).or_else(|| client.next()) {
+                Some(Mail::Order(order)) => order,
+                Some(Mail::Gone) => break false,
+                None => {
+                    client.wake.wait();
+                    continue;
+                }
+            };
+            match order {
+                Order::Pick { pick, node, within, careful, .. } => {
+                    if client.gone.load(Ordering::Acquire) {
+                        break false;
+                    }
+                    *client.pick.lock().unwrap() = (pick, None, false);
+                    let run = Pick { node, within, careful, connect: edge.bounds.connect, pool: &edge.pool };
+                    let mut passage =
+                        Passage { edge, client, id, pick, keep, orders: vec![], passing: false };
+                    let (mut saw, answer) = run.run(&outgoing, &**client, &mut passage);
+                    if matches!(saw, Saw::Severed) && passage.passing {
+                        edge.tell(Input::ClientLeft { id }, id);
+                    }
+                    let passing = passage.passing;
+                    client.pick.lock().unwrap().1 = None;
+                    if client.gone.load(Ordering::Acquire) && answer.is_none() {
+                        saw = Saw::Severed;
+                    }
+                    held = answer.map(|a| (pick, a)).or(held);
+                    orders.extend(passage.orders);
+                    orders.extend(edge.tell(Input::Ended { id, pick, saw }, id));
+                    if passing {
+                        let whole = matches!(saw, Saw::Answer { .. });
+                        break whole && keep;
+                    }
+                }
+                Order::Pass { pick, picks, build, .. } => {
+                    let Some((_, answer)) = held.take().filter(|h| h.0 == pick) else { break false };
+                    let mut bytes = answer.head_bytes(picks, build, !keep);
+                    bytes.extend_from_slice(&answer.body);
+                    break client.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok();
+                }
+                Order::PushBack { picks, retry_after, why, .. } => {
+                    let wait = retry_after.unwrap_or_default();
+                    let mut head = said(503, rpc::Kind::PushedBack, picks, why.word());
+                    if !wait.is_zero() {
+                        head = head
+                            .field("retry-after", wait.as_secs_f64().ceil().to_string())
+                            .field(rpc::RETRY_AFTER_MS, wait.as_millis().to_string());
+                    }
+                    break self.finish(head, "pushed back: try again later\n", keep);
+                }
+                Order::Abort { picks, why, .. } => {
+                    let status = if why == ivydrift_marshal::Why::TimedOut { 504 } else { 502 };
+                    let head = said(status, rpc::Kind::Aborted, picks, why.word());
+                    break self.finish(head, "aborted: it may have run\n", keep);
+                }
+                Order::Reject { status, why, .. } => {
+                    let head = HeadWriter::response(status).field("content-type", "text/plain");
+                    break self.finish(head, &format!("{why}\n"), keep);
+                }
+                Order::BreakOff { .. } => break false,
+                // Routed by `post`, or of no concern to one RPC.
+                _ => {}
+            }
+        };
+        edge.end(id);
+        fine && !client.gone.load(Ordering::Acquire)
+    }
+
+    fn finish(&self, head: HeadWriter, text: &str, keep: bool) -> bool {
+        let mut head = head.field("content-length", text.len().to_string());
+        if !keep {
+            head = head.field("connection", "close");
+        }
+        let bytes = [&head.finish()[..], text.as_bytes()].concat();
+        self.client.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok()
+    }
+}
+
+fn said(status: u16, kind: rpc::Kind, picks: usize, why: &str) -> HeadWriter {
+    HeadWriter::response(status)
+        .field("content-type", "text/plain")
+        .field(rpc::ANSWER, kind.word())
+        .field(rpc::PICKS, picks.to_string())
+        .field(rpc::WHY, why)
+}
+
+/// Hands a long answer to the client as it comes.
+struct Passage<'a> {
+    edge: &'a Arc<Edge>,
+    client: &'a Arc<Client>,
+    id: Id,
+    pick: usize,
+    keep: bool,
+    orders: Vec<Order>,
+    passing: bool,
+}
+
+impl Sink for Passage<'_> {
+    fn begin(&mut self, answer: &Answer) -> bool {
+        for order in self.edge.tell(Input::Began { id: self.id, pick: self.pick }, self.id) {
+            if let Order::Pass { picks, build, .. } = order {
+                self.passing = true;
+                let head = answer.head_bytes(picks, build, !self.keep);
+                return self.part(&head);
+            }
+            self.orders.push(order);
+        }
+        false
+    }
+
+    fn part(&mut self, bytes: &[u8]) -> bool {
+        self.client.socket.write(bytes, Instant::now() + SLOW_READER).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/exchange.rs
@@ -0,0 +1,280 @@
+//! One pick on its socket: the RPC out, the answer in, and what was seen of it.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ivydrift_marshal::Saw;
+use ivydrift_wire::body::{Part, Walk};
+use ivydrift_wire::http::{self, Framing, HeadWriter, Response};
+use ivydrift_wire::{orca, rpc};
+
+use crate::pool::Pool;
+use crate::socket::Socket;
+
+/// An answer up to this long is held until it is whole, so that one that breaks off can still be replaced.
+pub const HELD: usize = 16 * 1024;
+
+/// The RPC as it goes to any node.
+pub struct Outgoing {
+    pub verb: String,
+    pub target: String,
+    pub fields: http::Fields,
+    pub body: Vec<u8>,
+    /// Our name in `Via`.
+    pub via: String,
+}
+
+/// Fields that we set ourselves, or that are between client and marshal only.
+const OURS: [&str; 7] = ["host", "via", rpc::TIMEOUT, rpc::ANSWER, rpc::PICKS, rpc::BUILD, rpc::WHY];
+const NOT_FOR_CLIENTS: [&str; 7] =
+    [orca::FIELD, rpc::ANSWER, rpc::PICKS, rpc::BUILD, rpc::WHY, rpc::NEVER_RAN, "via"];
+
+impl Outgoing {
+    fn bytes(&self, node: SocketAddr, within: Duration) -> Vec<u8> {
+        let mut head = HeadWriter::request(&self.verb, &self.target)
+            .field("host", node.to_string())
+            .pass(&self.fields, &OURS)
+            .field(rpc::TIMEOUT, rpc::write_timeout(within))
+            .field("via", &self.via);
+        if !self.body.is_empty() || !matches!(&*self.verb, "GET" | "HEAD") {
+            head = head.field("content-length", self.body.len().to_string());
+        }
+        let mut bytes = head.finish();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// The head and held part of an answer.
+pub struct Answer {
+    pub head: Response,
+    pub body: Vec<u8>,
+    /// The body is longer than was held: the rest follows in parts.
+    pub more: bool,
+}
+
+impl Answer {
+    /// The answer's head for the client, with the kind of answer and what it took.
+    pub fn head_bytes(&self, picks: usize, build: u32, close: bool) -> Vec<u8> {
+        let mut head = HeadWriter::response(self.head.status)
+            .pass(&self.head.fields, &NOT_FOR_CLIENTS)
+            .field(rpc::ANSWER, rpc::Kind::Ok.word())
+            .field(rpc::PICKS, picks.to_string())
+            .field(rpc::BUILD, build.to_string());
+        head = match (self.more, self.head.framing) {
+            (true, Framing::Length(n)) => head.field("content-length", n.to_string()),
+            (true, _) => head.field("transfer-encoding", "chunked"),
+            // A 204 or 304 has no length; what a HEAD would have had is not known to be this.
+            (false, _) if matches!(self.head.status, 204 | 304) => head,
+            (false, _) => head.field("content-length", self.body.len().to_string()),
+        };
+        if close {
+            head = head.field("connection", "close");
+        }
+        head.finish()
+    }
+}
+
+/// Where the rest of a long answer goes.
+pub trait Sink {
+    /// The head and first part may go out now; false where nobody wants them any more.
+    fn begin(&mut self, answer: &Answer) -> bool;
+    fn part(&mut self, bytes: &[u8]) -> bool;
+}
+
+/// Names the connection of a pick while it is in use, so that it can be cut off from elsewhere.
+pub trait Handle {
+    /// False where the pick was severed meanwhile.
+    fn hold(&self, socket: &Arc<Socket>) -> bool;
+    fn severed(&self) -> bool;
+}
+
+pub struct Pick<'a> {
+    pub node: SocketAddr,
+    pub within: Duration,
+    pub careful: bool,
+    pub connect: Duration,
+    pub pool: &'a Pool,
+}
+
+impl Pick<'_> {
+    /// Sends the RPC and reads its answer. The answer is there whenever [`Saw::Answer`] is.
+    pub fn run(&self, rpc: &Outgoing, handle: &dyn Handle, sink: &mut dyn Sink) -> (Saw, Option<Answer>) {
+        let by = Instant::now() + self.within;
+        let socket = match self.pool.take(self.node, self.careful) {
+            Some(socket) => socket,
+            None => match Socket::connect(self.node, self.within.min(self.connect)) {
+                Ok(socket) => Arc::new(socket),
+                Err(e) => {
+                    // EMFILE, ENFILE: idle connections make room for the next.
+                    if matches!(e.raw_os_error(), Some(23 | 24)) {
+                        self.pool.tidy(true);
+                    }
+                    return (Saw::NotSent, None);
+                }
+            },
+        };
+        if !handle.hold(&socket) {
+            return (Saw::NotSent, None);
+        }
+        let left = by.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return (Saw::NotSent, None);
+        }
+        if let Err((handed, e)) = socket.write(&rpc.bytes(self.node, left), by) {
+            // Not one byte was taken from us: no node can have seen any of it.
+            let saw = match e.kind() {
+                _ if handed == 0 => Saw::NotSent,
+                ErrorKind::TimedOut => Saw::TimedOut,
+                _ => Saw::Broken,
+            };
+            return (saw, None);
+        }
+        let mut reader = Reader { socket: &socket, buf: Vec::new(), by };
+        let (saw, answer) = reader.answer(&rpc.verb, sink);
+        let whole = matches!(saw, Saw::Answer { .. });
+        if handle.severed() && !whole {
+            return (Saw::Severed, None);
+        }
+        // Bytes beyond the answer are no answer to anything: the node answers twice, or cannot count.
+        if whole && reader.buf.is_empty() && answer.as_ref().is_some_and(|a| a.head.keep_alive) {
+            self.pool.put(self.node, socket.clone());
+        }
+        (saw, answer)
+    }
+}
+
+struct Reader<'a> {
+    socket: &'a Socket,
+    buf: Vec<u8>,
+    by: Instant,
+}
+
+/// Why an answer did not come whole.
+enum Stop {
+    Saw(Saw),
+    /// The client wants no more of it.
+    Unwanted,
+}
+
+impl Reader<'_> {
+    /// Reads more; false at the end of the stream.
+    fn fill(&mut self) -> Result<bool, Stop> {
+        let mut part = [0; 8192];
+        match self.socket.read(&mut part, Some(self.by)) {
+            Ok(0) => Ok(false),
+            Ok(n) => {
+                self.buf.extend_from_slice(&part[..n]);
+                Ok(true)
+            }
+            Err(e) if matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {
+                Err(Stop::Saw(Saw::TimedOut))
+            }
+            Err(_) => Err(Stop::Saw(Saw::Broken)),
+        }
+    }
+
+    fn head(&mut self, to_head: bool) -> Result<Response, Stop> {
+        // Interim answers say nothing that concerns us; a node that sends nothing else is stopped.
+        for _ in 0..8 {
+            let head = loop {
+                match http::response(&self.buf, to_head) {
+                    Ok(Some((head, used))) => {
+                        self.buf.drain(..used);
+                        break head;
+                    }
+                    Ok(None) if self.fill()? => {}
+                    Ok(None) => return Err(Stop::Saw(Saw::Broken)),
+                    Err(_) => return Err(Stop::Saw(Saw::Garbled)),
+                }
+            };
+            if head.status == 101 {
+                break;
+            }
+            if head.status >= 200 {
+                return Ok(head);
+            }
+        }
+        Err(Stop::Saw(Saw::Garbled))
+    }
+
+    fn answer(&mut self, verb: &str, sink: &mut dyn Sink) -> (Saw, Option<Answer>) {
+        let head = match self.head(verb == "HEAD") {
+            Ok(head) => head,
+            Err(Stop::Saw(saw)) => return (saw, None),
+            Err(Stop::Unwanted) => return (Saw::Severed, None),
+        };
+        let load = head.fields.get(orca::FIELD).map(orca::Metrics::read).unwrap_or_default();
+        let saw = Saw::Answer {
+            status: head.status,
+            never_ran: head.fields.get(rpc::NEVER_RAN) == Some("1"),
+            load,
+        };
+        let mut answer = Answer { head, body: Vec::new(), more: false };
+        match self.body(&mut answer, saw.outcome(), sink) {
+            Ok(()) => (saw, Some(answer)),
+            Err(Stop::Saw(saw)) => (saw, None),
+            Err(Stop::Unwanted) => (Saw::Severed, None),
+        }
+    }
+
+    fn body(
+        &mut self, answer: &mut Answer, outcome: ivydrift_marshal::Outcome, sink: &mut dyn Sink,
+    ) -> Result<(), Stop> {
+        let mut walk = Walk::new(answer.head.framing);
+        let chunks = !matches!(answer.head.framing, Framing::Length(_));
+        loop {
+            match walk.step(&self.buf) {
+                Ok(Part::Data(n)) => {
+                    let data: Vec<u8> = self.buf.drain(..n).collect();
+                    if answer.more {
+                        pass(sink, &data, chunks)?;
+                        continue;
+                    }
+                    answer.body.extend_from_slice(&data);
+                    if answer.body.len() > HELD && !walk.ended() {
+                        if outcome != ivydrift_marshal::Outcome::Ok {
+                            // A long error is of use to nobody: its status has been seen.
+                            answer.head.keep_alive = false;
+                            return Ok(());
+                        }
+                        answer.more = true;
+                        if !sink.begin(answer) {
+                            return Err(Stop::Unwanted);
+                        }
+                        pass(sink, &answer.body, chunks)?;
+                        answer.body.clear();
+                    }
+                }
+                Ok(Part::Mark(n)) => {
+                    self.buf.drain(..n);
+                }
+                Ok(Part::End) => break,
+                Ok(Part::Need) => {
+                    if !self.fill()? {
+                        if walk.closed() {
+                            break;
+                        }
+                        return Err(Stop::Saw(Saw::Broken));
+                    }
+                }
+                Err(_) => return Err(Stop::Saw(Saw::Garbled)),
+            }
+        }
+        if answer.more && chunks && !sink.part(b"0\r\n\r\n") {
+            return Err(Stop::Unwanted);
+        }
+        Ok(())
+    }
+}
+
+fn pass(sink: &mut dyn Sink, data: &[u8], chunks: bool) -> Result<(), Stop> {
+    let size = format!("{:x}\r\n", data.len());
+    let wanted = match chunks {
+        true => sink.part(size.as_bytes()) && sink.part(data) && sink.part(b"\r\n"),
+        false => sink.part(data),
+    };
+    wanted.then_some(()).ok_or(Stop::Unwanted)
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,305 @@
+//! The marshal on real sockets: a thin shell around [`ivydrift_marshal::Core`], on `may` coroutines.
+//!
+//! Each client connection is one coroutine, which also carries the picks of its RPC; what the core orders for
+//! another connection's RPC is posted to it. The core is behind one lock, held for a few microseconds and
+//! never across a wait. List, desk, peers and time have a coroutine each.
+#![deny(unsafe_code)]
+
+mod clients;
+pub mod command;
+mod coroutine;
+mod exchange;
+mod news;
+mod pool;
+mod socket;
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use ivydrift_marshal::{Core, Counts, Id, Input, Order};
+use ivydrift_terms::{Bounds, Places, Terms};
+use may::net::{TcpListener, UdpSocket};
+
+use clients::Client;
+use coroutine::{go, pause};
+use pool::Pool;
+
+/// The shell's zero lies this long before its start, so that nodes which started earlier have an age.
+const BEFORE: Duration = Duration::from_secs(86_400);
+/// How often clients in hand are looked at, whether they have left.
+const LOOK: Duration = Duration::from_millis(50);
+/// The clock coroutine woke this much too late: the process stood still.
+const STALL: Duration = Duration::from_millis(300);
+
+pub struct Edge {
+    core: Mutex<Core>,
+    /// The clients whose RPCs are in hand.
+    inhand: Mutex<HashMap<Id, Arc<Client>>>,
+    clients: Mutex<HashMap<u64, Arc<Client>>>,
+    pool: Pool,
+    bounds: Bounds,
+    places: Places,
+    vote_wait: Duration,
+    number: usize,
+    via: String,
+    peers: Option<UdpSocket>,
+    started: Instant,
+    ids: AtomicU64,
+    stop: AtomicBool,
+    watching: AtomicBool,
+    /// When the process was last seen to have stood still, in milliseconds of our time.
+    stood: AtomicU64,
+    complained: Mutex<Vec<ivydrift_marshal::Rejected>>,
+}
+
+// Std locks below guard short sections without a yield; a coroutine never waits while it holds one.
+impl Edge {
+    fn now(&self) -> Duration {
+        BEFORE + self.started.elapsed()
+    }
+
+    fn next_id(&self) -> Id {
+        self.ids.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    fn stopping(&self) -> bool {
+        self.stop.load(Ordering::Acquire)
+    }
+
+    fn stalled(&self) -> bool {
+        let stood = Duration::from_millis(self.stood.load(Ordering::Relaxed));
+        !stood.is_zero() && self.now() < stood + Duration::from_secs(5)
+    }
+
+    /// Takes an RPC in hand and hears what to do first.
+    fn begin(self: &Arc<Self>, id: Id, client: &Arc<Client>, input: Input) -> Vec<Order> {
+        self.inhand.lock().unwrap().insert(id, client.clone());
+        self.tell(input, id)
+    }
+
+    fn end(&self, id: Id) {
+        self.inhand.lock().unwrap().remove(&id);
+    }
+
+    /// Tells the core what happened. Orders for RPC `own` come back, all others are carried out or posted.
+    fn tell(self: &Arc<Self>, input: Input, own: Id) -> Vec<Order> {
+        let orders = self.core.lock().unwrap().handle(self.now(), input);
+        let mut mine = Vec::new();
+        for order in orders {
+            match order {
+                Order::Sever { id, .. } => self.post(id, order),
+                Order::Pick { id, .. }
+                | Order::Pass { id, .. }
+                | Order::PushBack { id, .. }
+                | Order::Abort { id, .. }
+                | Order::Reject { id, .. }
+                | Order::BreakOff { id } => {
+                    if id == own {
+                        mine.push(order);
+                    } else {
+                        self.post(id, order);
+                    }
+                }
+                Order::CloseIdle { node } => self.pool.close(node),
+                Order::Tell { to, datagram } => {
+                    if let (Some(socket), Some(addr)) = (&self.peers, self.places.peers.get(to)) {
+                        // Loss does no harm, waiting would.
+                        let _ = socket.inner().send_to(&datagram, addr);
+                    }
+                }
+                Order::Vote(vote) => news::vote(self, vote),
+                Order::Watch => news::watch(self),
+                Order::Log(line) => tracing::info!("{line}"),
+            }
+        }
+        mine
+    }
+
+    fn post(&self, id: Id, order: Order) {
+        let client = self.inhand.lock().unwrap().get(&id).cloned();
+        if let Some(client) = client {
+            client.post(order);
+        }
+    }
+
+    /// Enters a client connection; false where there are too many.
+    fn enter(&self, name: u64, client: &Arc<Client>) -> bool {
+        let mut clients = self.clients.lock().unwrap();
+        let room = clients.len() < self.bounds.clients;
+        if room {
+            clients.insert(name, client.clone());
+        }
+        room
+    }
+
+    fn leave(&self, name: u64) {
+        self.clients.lock().unwrap().remove(&name);
+    }
+
+    fn complain_of_list(&self) {
+        let found = self.core.lock().unwrap().rejected().to_vec();
+        let mut known = self.complained.lock().unwrap();
+        if *known != found {
+            for one in &found {
+                tracing::warn!(node = one.node, why = one.why, "node list");
+            }
+            *known = found;
+        }
+    }
+
+    fn look_at_clients(self: &Arc<Self>) {
+        let inhand: Vec<(Id, Arc<Client>)> =
+            self.inhand.lock().unwrap().iter().map(|(id, c)| (*id, c.clone())).collect();
+        for (id, client) in inhand {
+            if client.socket.left() {
+                self.tell(Input::ClientLeft { id }, 0);
+                client.leave();
+            }
+        }
+    }
+
+    fn close_idle_clients(&self) {
+        for client in self.clients.lock().unwrap().values() {
+            if client.idle.load(Ordering::Acquire) {
+                client.socket.cut();
+            }
+        }
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.core.lock().unwrap().counts()
+    }
+}
+
+/// A running marshal.
+pub struct Running {
+    edge: Arc<Edge>,
+    pub listens: SocketAddr,
+    longest: Duration,
+}
+
+/// Starts a marshal by its terms. The runtime's workers are set by the first that starts in a process.
+///
+/// # Errors
+/// When its addresses cannot be had.
+pub fn start(terms: Terms) -> io::Result<Running> {
+    coroutine::prepare(terms.bounds.workers);
+    // may binds with SO_REUSEPORT: a second marshal on the same address would share its clients unseen. A plain
+    // bind first finds out; port 0 cannot be taken by another.
+    let wanted = terms.places.listen;
+    if wanted.port() != 0 {
+        drop(std::net::TcpListener::bind(wanted)?);
+    }
+    let listener = TcpListener::bind(wanted)?;
+    let listens = listener.local_addr()?;
+    let peers = match terms.places.peers.get(terms.rollout.marshal) {
+        Some(own) => Some(UdpSocket::bind(own)?),
+        None => None,
+    };
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let zero_ms = unix.saturating_sub(BEFORE).as_millis() as u64;
+    let longest = terms.rollout.methods.iter().map(|m| m.deadline).max().unwrap_or_default();
+    let edge = Arc::new(Edge {
+        inhand: Mutex::default(),
+        clients: Mutex::default(),
+        pool: Pool::new(terms.bounds.idle_to_node, terms.rollout.limits.idle_kept),
+        bounds: terms.bounds,
+        places: terms.places.clone(),
+        vote_wait: terms.rollout.release.vote_wait,
+        number: terms.rollout.marshal,
+        via: format!("1.1 ivydrift-{}", terms.rollout.marshal),
+        peers,
+        started: Instant::now(),
+        ids: AtomicU64::new(0),
+        stop: AtomicBool::new(false),
+        watching: AtomicBool::new(false),
+        stood: AtomicU64::new(0),
+        complained: Mutex::default(),
+        core: Mutex::new(Core::new(terms, zero_ms)),
+    });
+    news::follow_desk(&edge);
+    keep_time(&edge);
+    hear_peers(&edge);
+    let accepting = edge.clone();
+    go(move || clients::accept(&accepting, &listener));
+    Ok(Running { edge, listens, longest })
+}
+
+/// Wakes the core when it is due, and looks after clients and idle connections.
+fn keep_time(edge: &Arc<Edge>) {
+    let ticking = edge.clone();
+    go(move || loop {
+        let due = ticking.core.lock().unwrap().due();
+        let wait = due.saturating_sub(ticking.now()).min(Duration::from_millis(20));
+        let before = Instant::now();
+        pause(wait.max(Duration::from_micros(500)));
+        if before.elapsed() > wait + STALL {
+            ticking.stood.store(ticking.now().as_millis() as u64, Ordering::Relaxed);
+            tracing::warn!(stood_ms = before.elapsed().as_millis() as u64, "this process stood still");
+            // Clients that left meanwhile first: nothing more is sent for them.
+            ticking.look_at_clients();
+        }
+        ticking.tell(Input::Tick, 0);
+    });
+    let looking = edge.clone();
+    go(move || {
+        for round in 0u64.. {
+            pause(LOOK);
+            looking.look_at_clients();
+            if looking.stopping() {
+                looking.close_idle_clients();
+            }
+            if round % 20 == 0 {
+                looking.pool.tidy(false);
+            }
+            if round % 200 == 199 {
+                let counts = looking.counts();
+                let clients = looking.clients.lock().unwrap().len();
+                tracing::info!(?counts, clients, idle_to_nodes = looking.pool.len(), "counts");
+            }
+        }
+    });
+}
+
+fn hear_peers(edge: &Arc<Edge>) {
+    let edge = edge.clone();
+    go(move || {
+        let Some(socket) = &edge.peers else { return };
+        let mut datagram = [0; 512];
+        loop {
+            match socket.recv_from(&mut datagram) {
+                Ok((n, _)) => {
+                    edge.tell(Input::Peer(&datagram[..n]), 0);
+                }
+                Err(_) => pause(Duration::from_millis(5)),
+            }
+        }
+    });
+}
+
+impl Running {
+    pub fn counts(&self) -> Counts {
+        self.edge.counts()
+    }
+
+    /// Stops accepting, finishes what is held, and returns within the longest deadline; true where nothing was
+    /// left unfinished.
+    pub fn stop(&self) -> bool {
+        self.edge.stop.store(true, Ordering::Release);
+        // An accept in progress wakes by a connection.
+        let _ = std::net::TcpStream::connect_timeout(&self.listens, Duration::from_millis(200));
+        let by = Instant::now() + self.longest + Duration::from_millis(200);
+        while Instant::now() < by {
+            let (held, open) = (self.edge.counts().held, self.edge.clients.lock().unwrap().len());
+            if held == 0 && open == 0 {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.edge.counts().held == 0
+    }
+}
--- /dev/null
+++ b/crates/edge/src/news.rs
@@ -0,0 +1,186 @@
+//! What a marshal is told from outside: the node list and the release desk by blocking queries, and votes.
+
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ivydrift_marshal::{Ballot, Input};
+use ivydrift_wire::body::{Part, Walk};
+use ivydrift_wire::http::{self, HeadWriter};
+use ivydrift_wire::{desk, list};
+use rand::RngExt;
+
+use crate::coroutine::{go, pause};
+use crate::socket::Socket;
+use crate::Edge;
+
+/// Queries are held by the far side at most this long.
+const LIST_WAIT: Duration = Duration::from_secs(10);
+const DESK_WAIT: Duration = Duration::from_secs(5);
+/// More than that, and the far side is taken as gone.
+const SLACK: Duration = Duration::from_secs(2);
+
+/// A connection to list or desk that is used again for the next question.
+struct Asker {
+    to: SocketAddr,
+    socket: Option<Socket>,
+}
+
+impl Asker {
+    fn new(to: SocketAddr) -> Self {
+        Asker { to, socket: None }
+    }
+
+    /// Asks and reads the answer whole: its index, where it has one, and its body.
+    fn ask(
+        &mut self, verb: &str, path: &str, body: &[u8], most: usize, within: Duration,
+    ) -> io::Result<(Option<u64>, Vec<u8>)> {
+        let by = Instant::now() + within;
+        let fresh = || Socket::connect(self.to, within.min(Duration::from_secs(1)));
+        let socket = match self.socket.take().filter(Socket::quiet) {
+            Some(socket) => socket,
+            None => fresh()?,
+        };
+        let mut bytes = HeadWriter::request(verb, path)
+            .field("host", self.to.to_string())
+            .field("content-length", body.len().to_string())
+            .field("content-type", "application/json")
+            .finish();
+        bytes.extend_from_slice(body);
+        socket.write(&bytes, by).map_err(|e| e.1)?;
+        let bad = |why: &str| io::Error::new(ErrorKind::InvalidData, why.to_owned());
+        let (mut buf, mut part) = (Vec::new(), [0; 8192]);
+        let mut fill = |buf: &mut Vec<u8>| -> io::Result<bool> {
+            let n = socket.read(&mut part, Some(by))?;
+            buf.extend_from_slice(&part[..n]);
+            Ok(n > 0)
+        };
+        let head = loop {
+            match http::response(&buf, false).map_err(|r| bad(r.why))? {
+                Some((head, used)) => {
+                    buf.drain(..used);
+                    break head;
+                }
+                None if fill(&mut buf)? => {}
+                None => return Err(ErrorKind::UnexpectedEof.into()),
+            }
+        };
+        let (mut walk, mut body, mut at) = (Walk::new(head.framing), Vec::new(), 0);
+        loop {
+            match walk.step(&buf[at..]).map_err(|r| bad(r.why))? {
+                Part::Data(n) => {
+                    body.extend_from_slice(&buf[at..at + n]);
+                    at += n;
+                    if body.len() > most {
+                        return Err(bad("the answer is longer than is taken"));
+                    }
+                }
+                Part::Mark(n) => at += n,
+                Part::End => break,
+                Part::Need => {
+                    buf.drain(..at);
+                    at = 0;
+                    if !fill(&mut buf)? && !walk.closed() {
+                        return Err(ErrorKind::UnexpectedEof.into());
+                    }
+                }
+            }
+        }
+        if head.status != 200 {
+            return Err(bad(&format!("status {}", head.status)));
+        }
+        let index = head.fields.get(list::INDEX).and_then(|i| i.parse().ok());
+        if head.keep_alive {
+            self.socket = Some(socket);
+        }
+        Ok((index, body))
+    }
+}
+
+/// Follows the node list until it fails; the module then says when to ask again.
+pub fn watch(edge: &Arc<Edge>) {
+    if edge.watching.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let edge = edge.clone();
+    go(move || {
+        let (mut asker, mut index) = (Asker::new(edge.places.node_list), 0);
+        loop {
+            let path = list::path(&edge.places.service, index, LIST_WAIT.as_secs());
+            let answer = asker.ask("GET", &path, b"", list::LIST_BYTES, LIST_WAIT + SLACK);
+            let read = answer.map_err(|e| e.to_string()).and_then(|(at, body)| Ok((at, list::read(&body)?)));
+            match read {
+                Ok((at, nodes)) => {
+                    edge.tell(Input::List(&nodes), 0);
+                    edge.complain_of_list();
+                    // A list that was started anew counts from the front again.
+                    let at = at.unwrap_or(0);
+                    index = if at < index { 0 } else { at };
+                    if at == 0 {
+                        pause(Duration::from_secs(1));
+                    }
+                }
+                Err(why) => {
+                    tracing::warn!(why, "node list lost");
+                    break;
+                }
+            }
+            if edge.stopping() {
+                break;
+            }
+        }
+        edge.watching.store(false, Ordering::Release);
+        edge.tell(Input::ListLost, 0);
+    });
+}
+
+/// Follows the release desk for ever.
+pub fn follow_desk(edge: &Arc<Edge>) {
+    let edge = edge.clone();
+    go(move || {
+        let (mut asker, mut index, mut failures) = (Asker::new(edge.places.release_desk), 0, 0);
+        while !edge.stopping() {
+            let path =
+                format!("/v1/stage?index={index}&wait={}s&marshal={}", DESK_WAIT.as_secs(), edge.number);
+            let answer = asker.ask("GET", &path, b"", desk::NEWS_BYTES, DESK_WAIT + SLACK);
+            match answer.map_err(|e| e.to_string()).and_then(|(_, body)| desk::read_news(&body)) {
+                Ok(news) => {
+                    failures = 0;
+                    index = if news.index < index { 0 } else { news.index };
+                    edge.tell(Input::News(&news), 0);
+                }
+                Err(why) => {
+                    // Full jitter, so that marshals do not come back together.
+                    let most = Duration::from_millis(200 << failures.min(4));
+                    let wait = most.mul_f64(rand::rng().random_range(0.1..=1.0));
+                    tracing::warn!(why, wait_ms = wait.as_millis() as u64, "release desk lost");
+                    failures += 1;
+                    pause(wait);
+                }
+            }
+        }
+    });
+}
+
+pub fn vote(edge: &Arc<Edge>, vote: desk::Vote) {
+    let edge = edge.clone();
+    go(move || {
+        let body = ivydrift_wire::desk::write(&vote);
+        let mut asker = Asker::new(edge.places.release_desk);
+        let answer = asker.ask("POST", "/v1/votes", &body, desk::NEWS_BYTES, edge.vote_wait);
+        let ballot = match answer {
+            Ok((_, body)) => match desk::read_vote_answer(&body) {
+                Ok(answer) => Ballot::Answered(answer),
+                Err(_) => Ballot::Failed,
+            },
+            // Without a connection it cannot have come in; else it may have.
+            Err(e) if e.kind() == ErrorKind::ConnectionRefused => Ballot::Failed,
+            Err(e) if e.kind() == ErrorKind::InvalidData => Ballot::Failed,
+            Err(_) => Ballot::Silent,
+        };
+        tracing::info!(?vote, ?ballot, "voted");
+        edge.tell(Input::Voted(ballot), 0);
+    });
+}
--- /dev/null
+++ b/crates/edge/src/pool.rs
@@ -0,0 +1,73 @@
+//! Connections to nodes that wait to be used again, a bounded stack for each node.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::socket::Socket;
+
+/// A connection for an RPC that must not run twice was used this lately: a node, or what stands between, may
+/// have dropped an older one unseen.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// Idle connections to one node, each with the time when it came to rest, the latest last.
+type Stack = Vec<(Instant, Arc<Socket>)>;
+
+pub struct Pool {
+    most: usize,
+    kept: Duration,
+    idle: Mutex<HashMap<SocketAddr, Stack>>,
+}
+
+// The std lock is never held across a yield: nothing under it blocks.
+impl Pool {
+    pub fn new(most: usize, kept: Duration) -> Self {
+        Pool { most, kept, idle: Mutex::default() }
+    }
+
+    /// A connection that looks alive, the latest used first.
+    pub fn take(&self, node: SocketAddr, careful: bool) -> Option<Arc<Socket>> {
+        loop {
+            let (at, socket) = self.idle.lock().unwrap().get_mut(&node)?.pop()?;
+            let rested = at.elapsed();
+            if socket.quiet() && rested < self.kept {
+                if careful && rested >= FRESH {
+                    self.put_back(node, at, socket);
+                    return None;
+                }
+                return Some(socket);
+            }
+        }
+    }
+
+    fn put_back(&self, node: SocketAddr, at: Instant, socket: Arc<Socket>) {
+        self.idle.lock().unwrap().entry(node).or_default().push((at, socket));
+    }
+
+    pub fn put(&self, node: SocketAddr, socket: Arc<Socket>) {
+        let mut idle = self.idle.lock().unwrap();
+        let stack = idle.entry(node).or_default();
+        if stack.len() < self.most {
+            stack.push((Instant::now(), socket));
+        }
+    }
+
+    pub fn close(&self, node: SocketAddr) {
+        self.idle.lock().unwrap().remove(&node);
+    }
+
+    /// Closes what has rested too long, or was closed by the node. `all`: whatever is idle, when descriptors
+    /// have run out.
+    pub fn tidy(&self, all: bool) {
+        let mut idle = self.idle.lock().unwrap();
+        idle.retain(|_, stack| {
+            stack.retain(|(at, socket)| !all && at.elapsed() < self.kept && socket.quiet());
+            !stack.is_empty()
+        });
+    }
+
+    pub fn len(&self) -> usize {
+        self.idle.lock().unwrap().values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/socket.rs
@@ -0,0 +1,111 @@
+//! A TCP connection that several coroutines may hold: one reads and writes, others look whether the far side
+//! has left, or cut it off. One descriptor each.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::time::{Duration, Instant};
+
+use may::net::TcpStream;
+
+use crate::coroutine::pause;
+
+pub struct Socket(TcpStream);
+
+fn late() -> io::Error {
+    ErrorKind::TimedOut.into()
+}
+
+impl Socket {
+    pub fn new(stream: TcpStream) -> Self {
+        // Heads and answers are written whole: waiting to fill segments only delays them.
+        let _ = stream.set_nodelay(true);
+        Socket(stream)
+    }
+
+    /// # Errors
+    /// As the connect fails, or `TimedOut`.
+    pub fn connect(to: SocketAddr, within: Duration) -> io::Result<Socket> {
+        TcpStream::connect_timeout(&to, within.max(Duration::from_millis(1))).map(Socket::new)
+    }
+
+    /// Reads what is there, waiting until `by` for the first byte.
+    ///
+    /// # Errors
+    /// As the read fails, or `TimedOut`.
+    pub fn read(&self, buf: &mut [u8], by: Option<Instant>) -> io::Result<usize> {
+        loop {
+            match self.0.inner().read(buf) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                done => return done,
+            }
+            // may's own read wants the stream for itself alone; its peek does not, and waits alike.
+            let left = by.map(|by| by.saturating_duration_since(Instant::now()));
+            if left.is_some_and(|left| left.is_zero()) {
+                return Err(late());
+            }
+            self.0.set_read_timeout(left)?;
+            self.0.peek(&mut [0])?;
+        }
+    }
+
+    /// Writes all of it by then. On an error tells how many bytes were handed over.
+    ///
+    /// # Errors
+    /// As the write fails, or `TimedOut`.
+    pub fn write(&self, bytes: &[u8], by: Instant) -> Result<(), (usize, io::Error)> {
+        let (mut done, mut wait) = (0, Duration::from_micros(200));
+        while done < bytes.len() {
+            match self.0.inner().write(&bytes[done..]) {
+                Ok(0) => return Err((done, ErrorKind::WriteZero.into())),
+                Ok(n) => {
+                    done += n;
+                    wait = Duration::from_micros(200);
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    // The far side is slow. A coroutine that waits for room would need the stream for itself.
+                    if Instant::now() >= by {
+                        return Err((done, late()));
+                    }
+                    pause(wait);
+                    wait = (wait * 2).min(Duration::from_millis(10));
+                }
+                Err(e) => return Err((done, e)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the far side has closed or reset, as far as can be seen behind bytes not yet read.
+    pub fn left(&self) -> bool {
+        match self.0.inner().peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
+    /// Nothing has come, and nobody has closed: what an idle connection must look like.
+    pub fn quiet(&self) -> bool {
+        matches!(self.0.inner().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Ends both directions; whoever reads wakes.
+    pub fn cut(&self) {
+        let _ = self.0.shutdown(Shutdown::Both);
+    }
+
+    /// No more will be sent; what comes is read and dropped for a moment, since closing over unread bytes would
+    /// reset the connection and take our last answer with it (RFC 9112, section 9.6).
+    pub fn close_gently(&self, within: Duration) {
+        if self.0.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let (by, mut sink) = (Instant::now() + within, [0; 4096]);
+        for _ in 0..64 {
+            if !matches!(self.read(&mut sink, Some(by)), Ok(n) if n > 0) {
+                break;
+            }
+        }
+    }
+}
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -21,6 +21,7 @@
 
 use directory::Directory;
 pub use directory::Rejected;
+pub use ivydrift_policy::port::Outcome;
 use rpcs::Rpcs;
 
 /// An RPC, by the shell's number; never reused.
--- a/crates/wire/src/desk.rs
+++ b/crates/wire/src/desk.rs
@@ -121,6 +121,11 @@
     serde_json::from_slice(bytes).map_err(|e| format!("the desk's message: {e}"))
 }
 
+/// A message as JSON.
+pub fn write<T: Serialize>(message: &T) -> Vec<u8> {
+    serde_json::to_vec(message).unwrap_or_default()
+}
+
 fn check(stage: &Stage) -> Result<(), String> {
     if !(0.0..=1.0).contains(&stage.cap) {
         return Err(format!("the desk's cap is {}, not within 0 to 1", stage.cap));
