--- /dev/null
+++ b/crates/audit/src/rules.rs
@@ -0,0 +1,554 @@
+//! The rules, one walk over the lines.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use crate::trace::{Course, Group, Kind, Law, Line, Method, Repeat, Seen, State, Turn};
+
+pub const RULES: [&str; 5] = [
+    "1 no RPC is lost",
+    "2 no effect happens twice",
+    "3 drains are kept",
+    "4 no cold node is pushed over",
+    "5 exposure stays within the cap",
+];
+
+/// One breach of a rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// Index into [`RULES`].
+    pub rule: usize,
+    pub t: u64,
+    /// Number of the line at which it showed, from 1.
+    pub line: u64,
+    pub what: String,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// How many things each rule was asked of.
+    pub checked: [u64; 5],
+    pub broken: [u64; 5],
+    /// The first breaches in full, at most [`SHOWN`].
+    pub breaches: Vec<Breach>,
+    pub asked: u64,
+    pub ok: u64,
+    pub pushed_back: u64,
+    pub aborted: u64,
+    pub left: u64,
+    /// Lost with a marshal that was killed, or stood still: no breach.
+    pub excused: u64,
+    /// The nearest that each rule came to its limit: 1 is the limit. Rules 3 to 5.
+    pub nearest: [f64; 5],
+}
+
+impl Report {
+    pub fn kept(&self) -> bool {
+        self.broken == [0; 5]
+    }
+}
+
+/// So many breaches are kept in full.
+const SHOWN: usize = 50;
+/// A try that is over is forgotten this much later: what comes for it afterwards is found until then.
+const KEEP_US: u64 = 30_000_000;
+
+struct Pick {
+    t: u64,
+    node: u32,
+    zone: u32,
+    cell: u32,
+    out: bool,
+    turned: bool,
+}
+
+struct Try {
+    t: u64,
+    marshal: u32,
+    method: usize,
+    key: u64,
+    until: u64,
+    picks: Vec<Pick>,
+    /// When and how it ended for its client.
+    over: Option<(u64, Option<Kind>)>,
+    answers: u32,
+}
+
+/// A marshal as the outside knows it.
+#[derive(Default)]
+struct Marshal {
+    /// The latest news and, where a cap was lowered, the older one with the time from which it no longer holds.
+    news: Option<(u32, u32, Course, f64)>,
+    lowered: Option<(u64, f64)>,
+    /// Sends at a build on trial are counted from here.
+    afresh: BTreeMap<u32, u64>,
+    taken: HashMap<usize, VecDeque<u64>>,
+    sent: HashMap<(u32, usize), VecDeque<u64>>,
+    told: HashMap<u32, (u64, State)>,
+    /// Spans in which it was dead or stood still, the last perhaps open.
+    absent: VecDeque<(u64, u64)>,
+    stopping: Option<u64>,
+    /// Keys, the latest build that answered them, and since when.
+    crossed: HashMap<u64, (u64, u32)>,
+}
+
+#[derive(Default)]
+struct Node {
+    up: Option<(u64, f64)>,
+    work: VecDeque<(u64, u64)>,
+}
+
+#[derive(Default)]
+pub struct Auditor {
+    law: Option<Law>,
+    report: Report,
+    line: u64,
+    now: u64,
+    tries: HashMap<u64, Try>,
+    ending: VecDeque<(u64, u64)>,
+    /// Tries by the time at which they must have an answer.
+    owed: BTreeSet<(u64, u64)>,
+    /// Tries with two picks out, and when the earlier must be seen to have ended.
+    copies: VecDeque<(u64, u64)>,
+    effects: HashMap<u64, (u64, u32)>,
+    effect_order: VecDeque<(u64, u64)>,
+    marshals: HashMap<u32, Marshal>,
+    nodes: HashMap<u32, Node>,
+}
+
+fn trim(times: &mut VecDeque<u64>, before: u64) {
+    while times.front().is_some_and(|&t| t < before) {
+        times.pop_front();
+    }
+}
+
+impl Auditor {
+    pub fn new() -> Self {
+        Auditor::default()
+    }
+
+    fn breach(&mut self, rule: usize, what: String) {
+        self.report.broken[rule] += 1;
+        if self.report.breaches.len() < SHOWN {
+            self.report.breaches.push(Breach { rule, t: self.now, line: self.line, what });
+        }
+    }
+
+    fn near(&mut self, rule: usize, part: f64) {
+        self.report.nearest[rule] = self.report.nearest[rule].max(part);
+    }
+
+    /// Takes the next line.
+    ///
+    /// # Errors
+    /// When the line cannot stand here: before the law, or before an earlier time.
+    pub fn take(&mut self, line: &Line) -> Result<(), String> {
+        self.line += 1;
+        if line.t < self.now {
+            return Err(format!("line {}: its time lies before that of the line above", self.line));
+        }
+        self.now = line.t;
+        if let Seen::Law(law) = &line.seen {
+            if self.law.replace(law.clone()).is_some() {
+                return Err(format!("line {}: a second law", self.line));
+            }
+            return Ok(());
+        }
+        let Some(law) = self.law.clone() else {
+            return Err(format!("line {}: the law must stand first", self.line));
+        };
+        self.pass_time(&law);
+        self.see(&law, &line.seen)
+    }
+
+    fn method<'a>(law: &'a Law, name: &str) -> Result<(usize, &'a Method), String> {
+        let found = law.methods.iter().enumerate().find(|(_, m)| m.name == name);
+        found.ok_or_else(|| format!("method {name:?} is not in the law"))
+    }
+
+    fn see(&mut self, law: &Law, seen: &Seen) -> Result<(), String> {
+        let now = self.now;
+        match seen {
+            Seen::Law(_) => {}
+            Seen::Asked { marshal, id, method, key, left_us, .. } => {
+                let method = Self::method(law, method)?.0;
+                self.report.asked += 1;
+                self.report.checked[0] += 1;
+                let until = now + left_us;
+                let one = Try {
+                    t: now,
+                    marshal: *marshal,
+                    method,
+                    key: *key,
+                    until,
+                    picks: vec![],
+                    over: None,
+                    answers: 0,
+                };
+                self.tries.insert(*id, one);
+                self.owed.insert((until + law.late_us + law.slack_us, *id));
+                let slot = if law.by_method { method } else { 0 };
+                self.marshals.entry(*marshal).or_default().taken.entry(slot).or_default().push_back(now);
+            }
+            Seen::Answered { id, kind, build, .. } => self.answered(law, *id, *kind, *build),
+            Seen::Broken { id } | Seen::TimeUp { id } => {
+                let Some(one) = self.tries.get(id) else { return Ok(()) };
+                if one.over.is_none() && !self.excused(*id) {
+                    self.breach(0, format!("try {id} has no answer: its connection ended without one"));
+                } else if one.over.is_none() {
+                    self.report.excused += 1;
+                }
+                self.close(law, *id, None);
+            }
+            Seen::Left { id } => {
+                if self.tries.get(id).is_some_and(|one| one.over.is_none()) {
+                    self.report.left += 1;
+                }
+                self.close(law, *id, None);
+            }
+            Seen::Extra { id } => self.breach(0, format!("bytes follow the final answer of try {id}")),
+            Seen::Got { .. } => self.got(law, seen)?,
+            Seen::Turned { node, id } => {
+                if let Some(one) = self.tries.get_mut(id) {
+                    let pick = one.picks.iter_mut().rev().find(|p| p.node == *node);
+                    pick.into_iter().for_each(|p| (p.turned, p.out) = (true, false));
+                }
+            }
+            Seen::Ran { call, method, .. } => {
+                let (_, method) = Self::method(law, method)?;
+                if method.repeat != Repeat::Idempotent {
+                    self.report.checked[1] += 1;
+                    let times = &mut self.effects.entry(*call).or_insert((now, 0)).1;
+                    *times += 1;
+                    let times = *times;
+                    self.effect_order.push_back((now, *call));
+                    if times > 1 {
+                        self.breach(
+                            1,
+                            format!("the effect of call {call} ({}) happened {times} times", method.name),
+                        );
+                    }
+                }
+            }
+            Seen::Done { node, id, .. } => {
+                if let Some(one) = self.tries.get_mut(id) {
+                    let pick = one.picks.iter_mut().find(|p| p.node == *node && p.out);
+                    pick.into_iter().for_each(|p| p.out = false);
+                }
+            }
+            Seen::Told { marshal, node, state } => {
+                let told = &mut self.marshals.entry(*marshal).or_default().told;
+                // Draining and then gone is one leaving, told when it was told first.
+                let leaving = told.get(node).filter(|t| t.1 != State::Ready && *state != State::Ready);
+                let since = leaving.map_or(now, |t| t.0);
+                told.insert(*node, (since, *state));
+            }
+            Seen::News { marshal, build, stage, course, cap } => {
+                let one = self.marshals.entry(*marshal).or_default();
+                let cap = if matches!(course, Course::GoingBack | Course::Withdrawn) { 0.0 } else { *cap };
+                if let Some((old, _, _, was)) = one.news.filter(|n| n.0 == *build && n.3 > cap) {
+                    one.lowered = Some((now + law.drain_grace_us, was));
+                    one.afresh.insert(old, now + law.drain_grace_us);
+                }
+                one.news = Some((*build, *stage, *course, cap));
+            }
+            Seen::Marshal { marshal, turn } => {
+                let one = self.marshals.entry(*marshal).or_default();
+                match turn {
+                    Turn::Killed | Turn::Stopped => one.absent.push_back((now, u64::MAX)),
+                    Turn::Continued => {
+                        if let Some(last) = one.absent.back_mut() {
+                            last.1 = now;
+                        }
+                    }
+                    Turn::Started => {
+                        if let Some(last) = one.absent.back_mut() {
+                            last.1 = now;
+                        }
+                        // It knows nothing: what the earlier process was told binds it no more.
+                        let absent = std::mem::take(&mut one.absent);
+                        *one = Marshal { absent, ..Marshal::default() };
+                    }
+                    Turn::Told => one.stopping = Some(now),
+                }
+            }
+            Seen::Up { node, capacity, .. } => {
+                self.nodes.insert(*node, Node { up: Some((now, *capacity)), work: VecDeque::new() });
+            }
+            Seen::Down { node } => {
+                self.nodes.remove(node);
+            }
+            Seen::Fell { node } => self.breach(3, format!("node {node} was pushed over")),
+        }
+        Ok(())
+    }
+
+    fn answered(&mut self, law: &Law, id: u64, kind: Kind, build: u32) {
+        let now = self.now;
+        let Some(one) = self.tries.get_mut(&id) else {
+            self.breach(0, format!("an answer to try {id}, which was never asked"));
+            return;
+        };
+        one.answers += 1;
+        let (marshal, key) = (one.marshal, one.key);
+        let (answers, late, over) = (one.answers, now.saturating_sub(one.until), one.over);
+        let ran = one.picks.iter().filter(|p| !p.turned).map(|p| p.node).next();
+        let repeat = &law.methods[one.method];
+        match kind {
+            Kind::Ok => self.report.ok += 1,
+            Kind::PushedBack => self.report.pushed_back += 1,
+            Kind::Aborted => self.report.aborted += 1,
+        }
+        if law.one_way && kind == Kind::Ok && key != 0 {
+            let crossed = &mut self.marshals.entry(marshal).or_default().crossed;
+            let known = crossed.get(&key).copied().filter(|c| c.1 >= build);
+            crossed.insert(key, known.unwrap_or((now, build)));
+        }
+        if answers > 1 {
+            self.breach(0, format!("try {id} has {answers} answers"));
+        } else if over.is_some() {
+            self.breach(0, format!("try {id} has an answer after its end"));
+        } else if late > law.late_us && !self.excused(id) {
+            self.breach(0, format!("the answer to try {id} came {} ms late", late / 1000));
+        }
+        let harmless = repeat.repeat == Repeat::Idempotent
+            || (repeat.repeat == Repeat::Tokened && repeat.group == Group::All);
+        if let (Kind::PushedBack, false, Some(node)) = (kind, harmless, ran) {
+            self.breach(1, format!("try {id} ({}) was pushed back, but node {node} had it", repeat.name));
+        }
+        self.close(law, id, Some(kind));
+    }
+
+    fn close(&mut self, law: &Law, id: u64, kind: Option<Kind>) {
+        if let Some(one) = self.tries.get_mut(&id).filter(|one| one.over.is_none()) {
+            one.over = Some((self.now, kind));
+            self.owed.remove(&(one.until + law.late_us + law.slack_us, id));
+            self.ending.push_back((self.now, id));
+        }
+    }
+
+    /// Its marshal was dead, stood still or had been told to stop while the try was open.
+    fn excused(&self, id: u64) -> bool {
+        let Some(one) = self.tries.get(&id) else { return false };
+        let Some(marshal) = self.marshals.get(&one.marshal) else { return false };
+        let away = marshal.absent.iter().any(|&(from, to)| from <= self.now && one.t <= to);
+        // Told to stop: a connection that closes before the RPC was taken is no loss.
+        away || (marshal.stopping.is_some_and(|t| one.t + 100_000 >= t) && one.picks.is_empty())
+    }
+
+    fn got(&mut self, law: &Law, seen: &Seen) -> Result<(), String> {
+        let Seen::Got { node, build, marshal, id, method, key, zone, cell, work_us } = seen else {
+            return Ok(());
+        };
+        let now = self.now;
+        let (at, method) = Self::method(law, method)?;
+        let Some(one) = self.tries.get(id) else {
+            self.breach(0, format!("node {node} got try {id}, which was never asked or ended long ago"));
+            return Ok(());
+        };
+        if let Some((end, kind)) = one.over {
+            let killed = kind.is_none();
+            if now > end + law.slack_us && !killed {
+                self.breach(0, format!("node {node} got try {id} {} ms after its end", (now - end) / 1000));
+            }
+        }
+        self.repeats(law, method, *id, (*node, *zone, *cell));
+        self.drained(law, *marshal, *node, *id);
+        self.cold(law, *node, *work_us);
+        let slot = if law.by_method { at } else { 0 };
+        self.exposed(law, *marshal, *build, slot, method, *key);
+        if let Some(one) = self.tries.get_mut(id) {
+            one.picks.push(Pick { t: now, node: *node, zone: *zone, cell: *cell, out: true, turned: false });
+        }
+        Ok(())
+    }
+
+    fn repeats(&mut self, law: &Law, method: &Method, id: u64, (node, zone, cell): (u32, u32, u32)) {
+        self.report.checked[1] += 1;
+        let Some(one) = self.tries.get(&id) else { return };
+        let now = self.now;
+        let ran: Vec<&Pick> = one.picks.iter().filter(|p| !p.turned).collect();
+        let Some(first) = ran.first() else { return };
+        let mut found = Vec::new();
+        match method.repeat {
+            Repeat::Idempotent => {}
+            Repeat::NonIdempotent => {
+                found.push(format!(
+                    "node {node} got try {id} ({}), which node {} had before",
+                    method.name, first.node
+                ));
+            }
+            Repeat::Tokened => {
+                let near = |p: &&Pick| match method.group {
+                    Group::All => true,
+                    Group::Zone => p.zone == zone,
+                    Group::Cell => p.cell == cell,
+                };
+                if !ran.iter().all(near) {
+                    found.push(format!("node {node} got try {id} outside the group that drops its repeats"));
+                }
+                if now > first.t + method.window_us {
+                    found.push(format!("node {node} got try {id} after its token is forgotten"));
+                }
+            }
+        }
+        // The node may see the close of a given-up pick a little after the next pick is seen elsewhere.
+        let twice = ran.iter().any(|p| p.out);
+        if !law.copies && twice {
+            self.copies.push_back((now + law.slack_us, id));
+        }
+        found.into_iter().for_each(|what| self.breach(1, what));
+    }
+
+    fn drained(&mut self, law: &Law, marshal: u32, node: u32, id: u64) {
+        self.report.checked[2] += 1;
+        let told = self.marshals.get(&marshal).and_then(|m| m.told.get(&node)).copied();
+        if let Some((since, state)) = told.filter(|t| t.1 != State::Ready) {
+            let span = self.now - since;
+            self.near(2, span as f64 / law.drain_grace_us.max(1) as f64);
+            if span > law.drain_grace_us + law.slack_us {
+                let ms = span / 1000;
+                self.breach(
+                    2,
+                    format!("node {node} got try {id} {ms} ms after marshal {marshal} was told {state:?}"),
+                );
+            }
+        }
+    }
+
+    fn cold(&mut self, law: &Law, node: u32, work_us: u64) {
+        let now = self.now;
+        let Some(one) = self.nodes.get_mut(&node) else { return };
+        let Some((since, capacity)) = one.up else { return };
+        if now - since > law.warm_us + law.fall_us {
+            one.work.clear();
+            return;
+        }
+        one.work.push_back((now, work_us));
+        while one.work.front().is_some_and(|w| w.0 + law.fall_us <= now) {
+            one.work.pop_front();
+        }
+        let work: u64 = one.work.iter().map(|w| w.1).sum();
+        let heaviest = one.work.iter().map(|w| w.1).max().unwrap_or(0);
+        // Capacity grows: the mean over the window, from the window's own begin.
+        let present = |t: u64| {
+            let grown = (t.saturating_sub(since)) as f64 / law.warm_us.max(1) as f64;
+            capacity * (law.cold_from + (1.0 - law.cold_from) * grown.min(1.0))
+        };
+        let mean = (present(now.saturating_sub(law.fall_us)) + present(now)) / 2.0;
+        let budget = law.fall_multiple * mean * law.fall_us as f64;
+        self.report.checked[3] += 1;
+        self.near(3, work as f64 / budget.max(1.0));
+        if work as f64 > budget + heaviest as f64 {
+            self.breach(
+                3,
+                format!("cold node {node} was sent {work} us of work where {budget:.0} are allowed"),
+            );
+        }
+    }
+
+    fn exposed(&mut self, law: &Law, marshal: u32, build: u32, slot: usize, method: &Method, key: u64) {
+        let now = self.now;
+        let Some(one) = self.marshals.get_mut(&marshal) else { return };
+        let Some((newest, stage, course, told)) = one.news else { return };
+        let sent = one.sent.entry((build, slot)).or_default();
+        sent.push_back(now);
+        // Times of nodes and clients lie a little apart: the narrow side counts sends, the wide one RPCs.
+        let wide = law.window_us + law.slack_us;
+        trim(sent, now.saturating_sub(wide));
+        let taken = one.taken.entry(slot).or_default();
+        trim(taken, now.saturating_sub(wide));
+        let (stage, mut cap) = match build {
+            b if b > newest => (0, law.first_cap),
+            b if b == newest && course != Course::Released => (stage, told),
+            _ => {
+                let crossed = one.crossed.get(&key).filter(|c| build < c.1 && now > c.0 + law.slack_us);
+                let binds = matches!(course, Course::OnTrial | Course::Released);
+                if crossed.is_some() && binds {
+                    self.breach(4, format!("key {key}, which a later build answered, went to build {build}"));
+                }
+                return;
+            }
+        };
+        if let Some((_, was)) = one.lowered.filter(|l| now <= l.0 + law.slack_us) {
+            cap = cap.max(was);
+        }
+        let from = one
+            .afresh
+            .get(&build)
+            .copied()
+            .unwrap_or(0)
+            .max((now + law.slack_us).saturating_sub(law.window_us));
+        let used = sent.iter().filter(|&&t| t >= from).count() as f64;
+        let allowed = law.free + cap * taken.len() as f64;
+        let closed = cap <= 0.0;
+        self.report.checked[4] += 1;
+        self.near(4, used / allowed.max(1.0));
+        if closed {
+            self.breach(4, format!("build {build} got an RPC of marshal {marshal} at cap 0"));
+        } else if used > allowed {
+            self.breach(
+                4,
+                format!("build {build} got {used} RPCs of marshal {marshal} in the window where {allowed:.1} are allowed"),
+            );
+        }
+        if stage < law.guarded && method.repeat != Repeat::Idempotent {
+            self.breach(4, format!("build {build} got {} in stage {stage}, which is guarded", method.name));
+        }
+    }
+
+    /// What time alone shows: answers owed, copies that were still out; and what can be forgotten.
+    fn pass_time(&mut self, law: &Law) {
+        let now = self.now;
+        while let Some((t, id)) = self.owed.first().copied().filter(|o| o.0 < now) {
+            self.owed.remove(&(t, id));
+            if self.tries.get(&id).is_none_or(|one| one.over.is_some()) {
+                continue;
+            }
+            if self.excused(id) {
+                self.report.excused += 1;
+            } else {
+                self.breach(0, format!("try {id} has no answer though its client's time is up"));
+            }
+            self.close(law, id, None);
+        }
+        while let Some((_, id)) = self.copies.front().copied().filter(|c| c.0 < now) {
+            self.copies.pop_front();
+            let out = self.tries.get(&id).map_or(0, |one| one.picks.iter().filter(|p| p.out).count());
+            if out > 1 {
+                self.breach(1, format!("try {id} has {out} picks in flight at once"));
+            }
+        }
+        while let Some((_, id)) = self.ending.front().copied().filter(|e| e.0 + KEEP_US < now) {
+            self.ending.pop_front();
+            self.tries.remove(&id);
+        }
+        while let Some((_, call)) = self.effect_order.front().copied().filter(|e| e.0 + 4 * KEEP_US < now) {
+            self.effect_order.pop_front();
+            self.effects.remove(&call);
+        }
+        if self.line.is_multiple_of(4096) {
+            for one in self.marshals.values_mut() {
+                let before = now.saturating_sub(law.window_us + law.slack_us);
+                one.taken.values_mut().chain(one.sent.values_mut()).for_each(|times| trim(times, before));
+                while one.absent.front().is_some_and(|a| a.1.saturating_add(KEEP_US) < now) {
+                    one.absent.pop_front();
+                }
+            }
+        }
+    }
+
+    /// The end of the day: whatever is owed must have come.
+    pub fn finish(mut self) -> Report {
+        if let Some(law) = self.law.clone() {
+            let last = self.now;
+            for (id, one) in std::mem::take(&mut self.tries) {
+                let open = one.over.is_none() && one.until + law.late_us < last;
+                self.tries.insert(id, one);
+                if open && !self.excused(id) {
+                    self.breach(0, format!("try {id} has no answer at the end of the day"));
+                }
+            }
+        }
+        self.report
+    }
+}
--- a/crates/edge/src/command.rs
+++ b/crates/edge/src/command.rs
@@ -29,7 +29,8 @@
 
 /// Logs as JSON lines on standard error; `RUST_LOG` says how much.
 pub fn log_to_stderr() {
-    let filter = tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info,may=warn".into());
+    let filter =
+        tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info,may=warn".into());
     let _ = tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).try_init();
 }
 
