--- a/crates/audit/src/rules.rs
+++ b/crates/audit/src/rules.rs
@@ -113,6 +113,8 @@
     effect_order: VecDeque<(u64, u64)>,
     marshals: HashMap<u32, Marshal>,
     nodes: HashMap<u32, Node>,
+    /// When each node last went: what it held ended with it.
+    downs: HashMap<u32, u64>,
 }
 
 fn trim(times: &mut VecDeque<u64>, before: u64) {
@@ -199,6 +201,7 @@
                 }
                 self.close(law, *id, None);
             }
+            Seen::Refused { id } => self.close(law, *id, None),
             Seen::Left { id } => {
                 if self.tries.get(id).is_some_and(|one| one.over.is_none()) {
                     self.report.left += 1;
@@ -276,6 +279,7 @@
             }
             Seen::Down { node } => {
                 self.nodes.remove(node);
+                self.downs.insert(*node, now);
             }
             Seen::Fell { node } => self.breach(3, format!("node {node} was pushed over")),
         }
@@ -513,7 +517,8 @@
         }
         while let Some((_, id)) = self.copies.front().copied().filter(|c| c.0 < now) {
             self.copies.pop_front();
-            let out = self.tries.get(&id).map_or(0, |one| one.picks.iter().filter(|p| p.out).count());
+            let holds = |p: &&Pick| p.out && self.downs.get(&p.node).is_none_or(|&t| t < p.t);
+            let out = self.tries.get(&id).map_or(0, |one| one.picks.iter().filter(holds).count());
             if out > 1 {
                 self.breach(1, format!("try {id} has {out} picks in flight at once"));
             }
--- a/crates/audit/src/trace.rs
+++ b/crates/audit/src/trace.rs
@@ -107,10 +107,14 @@
         build: u32,
         picks: u32,
     },
-    /// It had no connection, or it broke before one byte of an answer; or an answer broke off.
+    /// Its connection ended before a whole answer.
     Broken {
         id: u64,
     },
+    /// It had no connection: the marshal never took the try.
+    Refused {
+        id: u64,
+    },
     /// It waited in vain until its time was up.
     TimeUp {
         id: u64,
--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -13,10 +13,10 @@
 use may::net::TcpListener;
 use may::sync::Semphore;
 
-use crate::coroutine::{go, pause};
 use crate::exchange::{Answer, Handle, Outgoing, Pick, Sink};
-use crate::socket::Socket;
 use crate::Edge;
+use ivydrift_sockets::coroutine::{go, pause};
+use ivydrift_sockets::Socket;
 
 /// A client that takes none of its answer for this long is cut off.
 const SLOW_READER: Duration = Duration::from_secs(10);
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -11,7 +11,7 @@
 use ivydrift_wire::{orca, rpc};
 
 use crate::pool::Pool;
-use crate::socket::Socket;
+use ivydrift_sockets::Socket;
 
 /// An answer up to this long is held until it is whole, so that one that breaks off can still be replaced.
 pub const HELD: usize = 16 * 1024;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,15 +3,14 @@
 //! Each client connection is one coroutine, which also carries the picks of its RPC; what the core orders for
 //! another connection's RPC is posted to it. The core is behind one lock, held for a few microseconds and
 //! never across a wait. List, desk, peers and time have a coroutine each.
-#![deny(unsafe_code)]
+#![forbid(unsafe_code)]
 
 mod clients;
 pub mod command;
-mod coroutine;
+
 mod exchange;
 mod news;
 mod pool;
-mod socket;
 
 use std::collections::HashMap;
 use std::io;
@@ -25,7 +24,7 @@
 use may::net::{TcpListener, UdpSocket};
 
 use clients::Client;
-use coroutine::{go, pause};
+use ivydrift_sockets::coroutine::{self, go, pause};
 use pool::Pool;
 
 /// The shell's zero lies this long before its start, so that nodes which started earlier have an age.
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -12,9 +12,9 @@
 use ivydrift_wire::{desk, list};
 use rand::RngExt;
 
-use crate::coroutine::{go, pause};
-use crate::socket::Socket;
 use crate::Edge;
+use ivydrift_sockets::coroutine::{go, pause};
+use ivydrift_sockets::Socket;
 
 /// Queries are held by the far side at most this long.
 const LIST_WAIT: Duration = Duration::from_secs(10);
@@ -25,12 +25,15 @@
 /// A connection to list or desk that is used again for the next question.
 struct Asker {
     to: SocketAddr,
+    /// Who asks, as the User-Agent.
+    name: String,
     socket: Option<Socket>,
 }
 
 impl Asker {
-    fn new(to: SocketAddr) -> Self {
-        Asker { to, socket: None }
+    fn new(to: SocketAddr, marshal: usize) -> Self {
+        let name = format!("ivydrift/{} marshal-{marshal}", env!("CARGO_PKG_VERSION"));
+        Asker { to, name, socket: None }
     }
 
     /// Asks and reads the answer whole: its index, where it has one, and its body.
@@ -45,6 +48,7 @@
         };
         let mut bytes = HeadWriter::request(verb, path)
             .field("host", self.to.to_string())
+            .field("user-agent", &self.name)
             .field("content-length", body.len().to_string())
             .field("content-type", "application/json")
             .finish();
@@ -106,7 +110,7 @@
     }
     let edge = edge.clone();
     go(move || {
-        let (mut asker, mut index) = (Asker::new(edge.places.node_list), 0);
+        let (mut asker, mut index) = (Asker::new(edge.places.node_list, edge.number), 0);
         loop {
             let path = list::path(&edge.places.service, index, LIST_WAIT.as_secs());
             let answer = asker.ask("GET", &path, b"", list::LIST_BYTES, LIST_WAIT + SLACK);
@@ -140,7 +144,7 @@
 pub fn follow_desk(edge: &Arc<Edge>) {
     let edge = edge.clone();
     go(move || {
-        let (mut asker, mut index, mut failures) = (Asker::new(edge.places.release_desk), 0, 0);
+        let (mut asker, mut index, mut failures) = (Asker::new(edge.places.release_desk, edge.number), 0, 0);
         while !edge.stopping() {
             let path =
                 format!("/v1/stage?index={index}&wait={}s&marshal={}", DESK_WAIT.as_secs(), edge.number);
@@ -168,7 +172,7 @@
     let edge = edge.clone();
     go(move || {
         let body = ivydrift_wire::desk::write(&vote);
-        let mut asker = Asker::new(edge.places.release_desk);
+        let mut asker = Asker::new(edge.places.release_desk, edge.number);
         let answer = asker.ask("POST", "/v1/votes", &body, desk::NEWS_BYTES, edge.vote_wait);
         let ballot = match answer {
             Ok((_, body)) => match desk::read_vote_answer(&body) {
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::socket::Socket;
+use ivydrift_sockets::Socket;
 
 /// A connection for an RPC that must not run twice was used this lately: a node, or what stands between, may
 /// have dropped an older one unseen.
--- /dev/null
+++ b/crates/standin/src/day.rs
@@ -0,0 +1,407 @@
+//! The script of a day, in HCL: the fleet, its traffic, the builds that are offered and the troubles. The same
+//! script runs on sockets and in virtual time.
+
+use std::time::Duration;
+
+use ivydrift_audit::trace;
+use ivydrift_policy::port::{Group, MethodTerms, ReleaseTerms, Repeat, RuleTerms};
+use ivydrift_terms::sheet::{Complaints, Page, Sheet};
+
+/// The built-in bad day, and a short one for tests.
+pub const BAD: &str = include_str!("../../../days/bad.hcl");
+pub const SHORT: &str = include_str!("../../../days/short.hcl");
+
+/// What goes wrong. `much` of a [`Trouble`] says how much; its meaning stands beside each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Traffic times `much`.
+    Burst,
+    /// A part `much` of one method's RPCs costs ten times the usual work.
+    HeavyTail,
+    /// A part `much` of the nodes dies and comes back cold at the end.
+    Crash,
+    /// A part `much` of the nodes takes RPCs and answers none.
+    Hang,
+    /// `nodes` of the nodes fail a part `much` of their RPCs at once.
+    FastErrors,
+    /// `nodes` of the nodes work `much` times slower.
+    Neighbour,
+    /// A part `much` of the answers is lost on the way: the connection breaks after the RPC ran.
+    LostAnswers,
+    /// RPCs to `zone` take `much` seconds longer each way.
+    SlowLink,
+    /// All nodes of `zone` are gone, and come back cold.
+    LostZone,
+    /// The list and the desk tell everything `much` seconds later.
+    LateReports,
+    /// The desk answers nothing; votes may count.
+    DeskDown,
+    /// The list answers nothing.
+    ListDown,
+    /// A part `much` of the traffic of other zones moves to `zone`.
+    Shift,
+    /// A part `much` of the clients leaves before its time is up.
+    GiveUp,
+    /// Nodes close idle connections after `much` seconds.
+    IdleReap,
+    /// Marshal number `much` stands still.
+    Stall,
+    /// Marshal number `much` is killed, and started anew at the end.
+    Kill,
+    /// All nodes work `much` times slower.
+    SharedSlow,
+    /// RPCs of `method` cost `much` times the work.
+    SlowMethod,
+}
+
+const KINDS: [(&str, Kind); 19] = [
+    ("burst", Kind::Burst),
+    ("heavy-tail", Kind::HeavyTail),
+    ("crash", Kind::Crash),
+    ("hang", Kind::Hang),
+    ("fast-errors", Kind::FastErrors),
+    ("neighbour", Kind::Neighbour),
+    ("lost-answers", Kind::LostAnswers),
+    ("slow-link", Kind::SlowLink),
+    ("lost-zone", Kind::LostZone),
+    ("late-reports", Kind::LateReports),
+    ("desk-down", Kind::DeskDown),
+    ("list-down", Kind::ListDown),
+    ("shift", Kind::Shift),
+    ("give-up", Kind::GiveUp),
+    ("idle-reap", Kind::IdleReap),
+    ("stall", Kind::Stall),
+    ("kill", Kind::Kill),
+    ("shared-slow", Kind::SharedSlow),
+    ("slow-method", Kind::SlowMethod),
+];
+
+impl Kind {
+    pub fn word(self) -> &'static str {
+        KINDS.iter().find(|k| k.1 == self).map_or("", |k| k.0)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Trouble {
+    pub name: String,
+    pub kind: Kind,
+    pub at: Duration,
+    pub lasts: Duration,
+    pub much: f64,
+    /// The part of the nodes concerned, where the kind has nodes of its own.
+    pub nodes: f64,
+    pub zone: Option<usize>,
+    pub method: Option<usize>,
+}
+
+impl Trouble {
+    pub fn on(&self, now: Duration) -> bool {
+        now >= self.at && now < self.at + self.lasts
+    }
+}
+
+/// How a build is bad.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It is good.
+    None,
+    /// Fails a part `much` of all RPCs.
+    Errors,
+    /// Fails a part `much` of one method.
+    OneMethod,
+    /// Works `much` times slower.
+    Slow,
+    /// Turns slow and fails a part `much`, some seconds after its node started.
+    Late,
+    /// Fails a part `much` when its node is more than half busy.
+    UnderLoad,
+    /// A part `much` of its answers is wrong; clients report some of them later.
+    Wrong,
+    /// Slows all nodes, old and new, `much` times its share of the traffic.
+    Shared,
+}
+
+const FAULTS: [(&str, Fault); 8] = [
+    ("none", Fault::None),
+    ("errors", Fault::Errors),
+    ("one-method", Fault::OneMethod),
+    ("slow", Fault::Slow),
+    ("late", Fault::Late),
+    ("under-load", Fault::UnderLoad),
+    ("wrong", Fault::Wrong),
+    ("shared", Fault::Shared),
+];
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer {
+    pub build: u32,
+    pub at: Duration,
+    pub fault: Fault,
+    pub much: f64,
+    pub method: Option<usize>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Machine {
+    pub name: String,
+    pub share: f64,
+    pub speed: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fleet {
+    pub nodes: usize,
+    pub cores: usize,
+    pub machines: Vec<Machine>,
+    /// A new node runs this long after it was ordered.
+    pub start: Duration,
+    /// A drained node is gone after this.
+    pub leave: Duration,
+    /// RPCs that may wait at a node; more are turned away unseen.
+    pub queue: usize,
+    /// Work that waits is dropped when its pick is given up.
+    pub cancels: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    pub share: f64,
+    pub mean: Duration,
+    /// Work lies within the mean, times 1 minus and plus this.
+    pub spread: f64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Traffic {
+    /// RPCs a second.
+    pub rate: f64,
+    /// How often a client tries again by itself.
+    pub retries: u32,
+    pub retry_wait: Duration,
+    /// The shortest part of a method's deadline that a client waits.
+    pub patience: f64,
+    /// Keys that clients use, by Zipf; 0 for none.
+    pub keys: u64,
+    pub zipf: f64,
+    /// Delay one way within a zone, and between zones.
+    pub near: Duration,
+    pub far: Duration,
+}
+
+#[derive(Clone, Debug)]
+pub struct Day {
+    pub name: String,
+    pub seed: u64,
+    pub lasts: Duration,
+    pub marshals: usize,
+    pub zones: Vec<String>,
+    /// Peers may tell each other.
+    pub peers: bool,
+    pub methods: Vec<(String, MethodTerms, Work)>,
+    pub release: ReleaseTerms,
+    pub rules: RuleTerms,
+    pub second_copies: bool,
+    pub fleet: Fleet,
+    pub traffic: Traffic,
+    pub offers: Vec<Offer>,
+    pub troubles: Vec<Trouble>,
+    /// Lag of the list and of the desk, always.
+    pub list_lag: Duration,
+    pub desk_lag: Duration,
+    /// The blocks that marshals' terms take over as they stand.
+    terms: String,
+}
+
+/// Reads a day's script.
+///
+/// # Errors
+/// All that is wrong with it, each with file, line, column and what to write instead.
+pub fn read(file: &str, text: &str) -> Result<Day, Complaints> {
+    Page::new(file, text).read(|top| day(file, top))
+}
+
+fn named(s: &Sheet, key: &str, names: &[String]) -> Option<usize> {
+    if !s.has(key) {
+        s.text(key, Some(""), "a name");
+        return None;
+    }
+    let form = format!("one of {}", names.iter().map(|n| format!("{n:?}")).collect::<Vec<_>>().join(", "));
+    s.parsed(key, None, &form, |text| names.iter().position(|n| n == text))
+}
+
+fn day(file: &str, top: &Sheet) -> Day {
+    let seconds = |s: f64| Some(Duration::from_secs_f64(s));
+    let zones = top.texts("zones", Some(vec!["site-a".to_owned()]));
+    let marshals = top.whole("marshals", Some(3), 1..=500) as usize;
+    let methods: Vec<(String, MethodTerms)> =
+        top.labelled("method", |name, s| (name.to_owned(), ivydrift_terms::method(s)));
+    if methods.is_empty() {
+        top.complain(None, "no method is named: write at least one method \"its-path\" { ... }");
+    }
+    let names: Vec<String> = methods.iter().map(|m| m.0.clone()).collect();
+    let works = top.labelled("work", |name, s| {
+        if !names.iter().any(|n| n == name) {
+            s.complain(None, format!("work of {name:?}, which is no method here"));
+        }
+        let work = Work {
+            share: s.number("share", None, 0.0..=1.0),
+            mean: s.span("mean", None),
+            spread: s.number("spread", Some(0.25), 0.0..=0.95),
+        };
+        (name.to_owned(), work)
+    });
+    let work = |name: &str| {
+        let found = works.iter().find(|w| w.0 == name).map(|w| w.1.clone());
+        if found.is_none() {
+            top.complain(
+                None,
+                format!("no work is given for method {name:?}: write work {name:?} {{ ... }}"),
+            );
+        }
+        found.unwrap_or(Work { share: 0.0, mean: Duration::from_millis(1), spread: 0.0 })
+    };
+    let methods: Vec<_> =
+        methods.into_iter().map(|(name, terms)| (name.clone(), terms, work(&name))).collect();
+    let machines = top.labelled("machine", |name, s| Machine {
+        name: name.to_owned(),
+        share: s.number("share", None, 0.0..=1.0),
+        speed: s.number("speed", Some(1.0), 0.01..=100.0),
+    });
+    let plain = || vec![Machine { name: "plain".to_owned(), share: 1.0, speed: 1.0 }];
+    let machines = if machines.is_empty() { plain() } else { machines };
+    let fleet = top.block("fleet", |s| Fleet {
+        nodes: s.whole("nodes", Some(16), 1..=2000) as usize,
+        cores: s.whole("cores", Some(1), 1..=256) as usize,
+        machines,
+        start: s.span("start", seconds(1.0)),
+        leave: s.span("leave", seconds(3.0)),
+        queue: s.whole("queue", Some(40), 1..=100_000) as usize,
+        cancels: s.flag("cancels", Some(false)),
+    });
+    let traffic = top.block("traffic", |s| Traffic {
+        rate: s.number("rate", None, 0.1..=100_000.0),
+        retries: s.whole("retries", Some(1), 0..=10) as u32,
+        retry_wait: s.span("retry_wait", seconds(0.1)),
+        patience: s.number("patience", Some(0.6), 0.05..=1.0),
+        keys: s.whole("keys", Some(0), 0..=10_000_000),
+        zipf: s.number("zipf", Some(1.0), 0.0..=3.0),
+        near: s.span("near", seconds(0.0003)),
+        far: s.span("far", seconds(0.001)),
+    });
+    let offers = top.labelled("build", |name, s| {
+        let build = name.parse().unwrap_or_else(|_| {
+            s.complain(None, format!("build {name:?}: write its number, over 1, as in build \"2\""));
+            2
+        });
+        let fault = s.one_of("fault", Some(Fault::None), &FAULTS);
+        let method = named(s, "method", &names);
+        if fault == Fault::OneMethod && method.is_none() {
+            s.complain(None, "one-method needs the method: write method = \"its-path\"");
+        }
+        let (at, much) = (s.span("at", None), s.number("much", Some(0.3), 0.0..=1000.0));
+        Offer { build, at, fault, much, method }
+    });
+    let troubles = top.labelled("trouble", |name, s| Trouble {
+        name: name.to_owned(),
+        kind: s.one_of("kind", None, &KINDS),
+        at: s.span("at", None),
+        lasts: s.span("lasts", None),
+        much: s.number("much", Some(0.0), 0.0..=1000.0),
+        nodes: s.number("nodes", Some(0.2), 0.0..=1.0),
+        zone: named(s, "zone", &zones),
+        method: named(s, "method", &names),
+    });
+    Day {
+        name: file.to_owned(),
+        seed: top.whole("seed", Some(1), 0..=u64::MAX),
+        lasts: top.span("lasts", seconds(60.0)),
+        marshals,
+        peers: top.flag("peers", Some(true)),
+        release: top.block("release", |s| ivydrift_terms::release(s, marshals)),
+        rules: top.block("rules", ivydrift_terms::rules),
+        second_copies: false,
+        list_lag: top.span("list_lag", seconds(0.3)),
+        desk_lag: top.span("desk_lag", seconds(0.2)),
+        terms: top.copy(&["method", "release", "rules"]),
+        zones,
+        methods,
+        fleet,
+        traffic,
+        offers,
+        troubles,
+    }
+}
+
+/// Addresses of one marshal and of what it asks.
+pub struct Addresses {
+    pub listen: std::net::SocketAddr,
+    pub node_list: std::net::SocketAddr,
+    pub release_desk: std::net::SocketAddr,
+    pub peers: Vec<std::net::SocketAddr>,
+}
+
+impl Day {
+    pub fn zone_of_marshal(&self, marshal: usize) -> usize {
+        marshal % self.zones.len()
+    }
+
+    /// The terms of one marshal of this day, as HCL.
+    pub fn terms(&self, marshal: usize, at: &Addresses) -> String {
+        let quoted =
+            |names: Vec<String>| names.iter().map(|n| format!("{n:?}")).collect::<Vec<_>>().join(", ");
+        let kinds = self.fleet.machines.iter().map(|m| m.name.clone()).collect();
+        let peers: Vec<String> =
+            if self.peers { at.peers.iter().map(ToString::to_string).collect() } else { vec![] };
+        format!(
+            "zones = [{}]\nkinds = [{}]\n\nmarshal {{\n  number = {marshal}\n  of = {}\n  zone = {:?}\n  seed = {}\n}}\n\n\
+             places {{\n  listen = \"{}\"\n  node_list = \"{}\"\n  service = \"town\"\n  release_desk = \"{}\"\n  \
+             peers = [{}]\n}}\n\nlimits {{\n  cancel = true\n}}\n\n{}",
+            quoted(self.zones.clone()),
+            quoted(kinds),
+            self.marshals,
+            self.zones[self.zone_of_marshal(marshal)],
+            self.seed * 1000 + marshal as u64,
+            at.listen,
+            at.node_list,
+            at.release_desk,
+            quoted(peers),
+            self.terms
+        )
+    }
+
+    /// What the checker of the trace is told.
+    pub fn law(&self, slack: Duration) -> trace::Law {
+        let us = |d: Duration| d.as_micros() as u64;
+        let method = |(name, terms, _): &(String, MethodTerms, Work)| {
+            let (repeat, group, window) = match terms.repeat {
+                Repeat::Idempotent => (trace::Repeat::Idempotent, Group::All, Duration::ZERO),
+                Repeat::NonIdempotent => (trace::Repeat::NonIdempotent, Group::All, Duration::ZERO),
+                Repeat::Tokened { group, window } => (trace::Repeat::Tokened, group, window),
+            };
+            let group = match group {
+                Group::All => trace::Group::All,
+                Group::Zone => trace::Group::Zone,
+                Group::Cell => trace::Group::Cell,
+            };
+            trace::Method { name: name.clone(), repeat, group, window_us: us(window) }
+        };
+        trace::Law {
+            methods: self.methods.iter().map(method).collect(),
+            drain_grace_us: us(self.rules.drain_grace),
+            cold_from: self.rules.cold_from,
+            warm_us: us(self.rules.warm_within),
+            fall_multiple: self.rules.fall_multiple,
+            fall_us: us(self.rules.fall_window),
+            window_us: us(self.release.window),
+            free: self.release.free,
+            first_cap: self.release.caps.first().copied().unwrap_or(0.0),
+            by_method: self.release.by_method,
+            guarded: self.release.guarded_stages as u32,
+            one_way: self.release.one_way,
+            copies: self.second_copies,
+            slack_us: us(slack),
+            late_us: us(slack),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,12 @@
+//! Stand-ins for all that a marshal meets: nodes, node list, release desk and clients, by a scripted day.
+//! [`town::Town`] holds what they do, without I/O; [`sockets`] puts it on loopback sockets, [`sim`] into a
+//! simulated network with virtual time. Both write the same trace.
+#![forbid(unsafe_code)]
+
+pub mod day;
+mod desk;
+mod node;
+pub mod sim;
+pub mod sockets;
+pub mod tally;
+pub mod town;
--- /dev/null
+++ b/crates/standin/src/sockets.rs
@@ -0,0 +1,1 @@
+//! The town on loopback sockets.
--- /dev/null
+++ b/crates/standin/src/tally.rs
@@ -0,0 +1,61 @@
+//! What a day looked like to its clients, phase by phase.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use ivydrift_audit::trace::Kind;
+
+/// A stretch of the day and what came of the RPCs that were asked in it.
+pub struct Phase {
+    pub from: Duration,
+    pub to: Duration,
+    pub label: String,
+    pub asked: u64,
+    pub ok: u64,
+    pub late: u64,
+    pub pushed_back: u64,
+    pub aborted: u64,
+    /// Without an answer: connection refused or lost, time up, or left.
+    pub none: u64,
+    pub picks: u64,
+    /// Times of ok answers in microseconds.
+    pub times: Histogram<u64>,
+}
+
+impl Phase {
+    pub fn new(from: Duration, to: Duration, label: String) -> Self {
+        // Three digits from a microsecond to a minute: the bounds are right, so this cannot fail.
+        let times = Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds of a histogram");
+        Phase {
+            from,
+            to,
+            label,
+            asked: 0,
+            ok: 0,
+            late: 0,
+            pushed_back: 0,
+            aborted: 0,
+            none: 0,
+            picks: 0,
+            times,
+        }
+    }
+
+    pub fn answered(&mut self, kind: Kind, took: Duration, soft: Duration, picks: u32) {
+        self.picks += u64::from(picks);
+        match kind {
+            Kind::Ok => {
+                self.ok += 1;
+                self.late += u64::from(took > soft);
+                self.times.saturating_record(took.as_micros() as u64);
+            }
+            Kind::PushedBack => self.pushed_back += 1,
+            Kind::Aborted => self.aborted += 1,
+        }
+    }
+
+    /// A quantile of the times of ok answers.
+    pub fn quantile(&self, q: f64) -> Duration {
+        Duration::from_micros(if self.times.is_empty() { 0 } else { self.times.value_at_quantile(q) })
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/audit.rs
@@ -0,0 +1,171 @@
+//! The checker can fail: a trace that is right, with one line changed, is found wrong by the rule concerned.
+
+use ivydrift_audit::trace::{Course, Kind, Line, Repeat, Seen, State};
+use ivydrift_audit::{Auditor, Report};
+use ivydrift_standin::{day, sim};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::sync::OnceLock;
+
+fn trace() -> &'static [Line] {
+    static TRACE: OnceLock<Vec<Line>> = OnceLock::new();
+    TRACE.get_or_init(|| {
+        let mut day = day::read("short.hcl", day::SHORT).unwrap();
+        day.troubles.clear();
+        sim::run(day, true).unwrap().lines
+    })
+}
+
+fn audit(lines: &[Line]) -> Report {
+    let mut auditor = Auditor::new();
+    lines.iter().for_each(|line| auditor.take(line).unwrap());
+    auditor.finish()
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    AnswerGone,
+    AnswerTwice,
+    AnswerLate,
+    BytesAfterAnswer,
+    SendAfterEnd,
+    EffectTwice,
+    NonIdempotentElsewhere,
+    PushedBackThoughRun,
+    ToldToLeaveBefore,
+    WeakerNode,
+    Toppled,
+    CapWithdrawn,
+}
+
+const CHANGES: [(Change, usize); 12] = [
+    (Change::AnswerGone, 0),
+    (Change::AnswerTwice, 0),
+    (Change::AnswerLate, 0),
+    (Change::BytesAfterAnswer, 0),
+    (Change::SendAfterEnd, 0),
+    (Change::EffectTwice, 1),
+    (Change::NonIdempotentElsewhere, 1),
+    (Change::PushedBackThoughRun, 1),
+    (Change::ToldToLeaveBefore, 2),
+    (Change::WeakerNode, 3),
+    (Change::Toppled, 3),
+    (Change::CapWithdrawn, 4),
+];
+
+/// The nth line (counted round) that the change can be made to, changed. None where there is none.
+fn changed(change: Change, nth: usize) -> Option<Vec<Line>> {
+    let mut lines = trace().to_vec();
+    let Seen::Law(law) = lines[0].seen.clone() else { panic!("no law") };
+    let kind = |name: &str| law.methods.iter().find(|m| m.name == name).unwrap().repeat;
+    let method_of = |id: u64| {
+        lines.iter().find_map(|l| match &l.seen {
+            Seen::Asked { id: i, method, .. } if *i == id => Some(method.clone()),
+            _ => None,
+        })
+    };
+    let last = lines.last().unwrap().t;
+    let fits = |line: &Line| match (change, &line.seen) {
+        (Change::AnswerGone, Seen::Answered { .. }) => line.t + 4_000_000 < last,
+        (Change::AnswerTwice | Change::BytesAfterAnswer | Change::AnswerLate, Seen::Answered { .. }) => true,
+        (Change::SendAfterEnd, Seen::Answered { .. }) => line.t + 1_000_000 < last,
+        (Change::EffectTwice, Seen::Ran { method, .. }) => kind(method) != Repeat::Idempotent,
+        (Change::NonIdempotentElsewhere, Seen::Got { method, .. }) => kind(method) == Repeat::NonIdempotent,
+        (Change::PushedBackThoughRun, Seen::Answered { id, kind: Kind::Ok, .. }) => {
+            method_of(*id).is_some_and(|m| kind(&m) == Repeat::NonIdempotent)
+        }
+        (Change::ToldToLeaveBefore, Seen::Got { .. }) => line.t > 4_000_000,
+        (Change::WeakerNode, Seen::Up { .. }) => true,
+        (Change::Toppled, Seen::Up { .. }) => true,
+        (Change::CapWithdrawn, Seen::News { course: Course::OnTrial, stage: 0, .. }) => true,
+        _ => false,
+    };
+    let places: Vec<usize> = (0..lines.len()).filter(|&i| fits(&lines[i])).collect();
+    let at = *places.get(nth % places.len().max(1))?;
+    let line = lines[at].clone();
+    let insert = |lines: &mut Vec<Line>, t: u64, seen: Seen| {
+        let place = lines.iter().position(|l| l.t > t).unwrap_or(lines.len());
+        lines.insert(place, Line { t, seen });
+    };
+    match (change, line.seen.clone()) {
+        (Change::AnswerGone, _) => {
+            lines.remove(at);
+        }
+        (Change::AnswerTwice, seen) => insert(&mut lines, line.t, seen),
+        (Change::AnswerLate, seen) => {
+            lines.remove(at);
+            let t = last + 5_000_000;
+            lines.push(Line { t, seen });
+        }
+        (Change::BytesAfterAnswer, Seen::Answered { id, .. }) => {
+            insert(&mut lines, line.t, Seen::Extra { id })
+        }
+        (Change::SendAfterEnd, Seen::Answered { id, .. }) => {
+            let got = lines.iter().find(|l| matches!(&l.seen, Seen::Got { id: i, .. } if *i == id))?;
+            let seen = got.seen.clone();
+            insert(&mut lines, line.t + 2 * law.slack_us, seen);
+        }
+        (Change::EffectTwice, seen) => insert(&mut lines, line.t + 1, seen),
+        (
+            Change::NonIdempotentElsewhere,
+            Seen::Got { build, marshal, id, method, key, zone, cell, work_us, node },
+        ) => {
+            let node = node + 1000;
+            let seen = Seen::Got { node, build, marshal, id, method, key, zone, cell, work_us };
+            insert(&mut lines, line.t + 1, seen);
+        }
+        (Change::PushedBackThoughRun, Seen::Answered { id, build, picks, .. }) => {
+            lines[at].seen = Seen::Answered { id, kind: Kind::PushedBack, build, picks };
+        }
+        (Change::ToldToLeaveBefore, Seen::Got { marshal, node, .. }) => {
+            let t = line.t - law.drain_grace_us - law.slack_us - 1000;
+            insert(&mut lines, t, Seen::Told { marshal, node, state: State::Draining });
+            // Said again later, as if it had been so all along.
+        }
+        (Change::WeakerNode, Seen::Up { node, build, capacity }) => {
+            lines[at].seen = Seen::Up { node, build, capacity: capacity / 200.0 };
+        }
+        (Change::Toppled, Seen::Up { node, .. }) => insert(&mut lines, line.t + 10, Seen::Fell { node }),
+        (Change::CapWithdrawn, Seen::News { marshal, build, stage, course, .. }) => {
+            lines[at].seen = Seen::News { marshal, build, stage, course, cap: 0.0 };
+        }
+        _ => return None,
+    }
+    Some(lines)
+}
+
+#[test]
+fn the_unchanged_trace_is_right() {
+    let report = audit(trace());
+    assert!(report.kept(), "{:#?}", report.breaches);
+    assert!(report.asked > 500 && report.checked.iter().all(|&n| n > 0), "{report:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None, rng_seed: RngSeed::Fixed(10), ..ProptestConfig::with_cases(240)
+    })]
+    #[test]
+    fn one_changed_line_is_found(which in 0..CHANGES.len(), nth in any::<usize>()) {
+        let (change, rule) = CHANGES[which];
+        let lines = changed(change, nth).expect("the trace has such a line");
+        let report = audit(&lines);
+        prop_assert!(report.broken[rule] > 0, "{:?} was not found: {:?}", change, report.broken);
+    }
+}
+
+#[test]
+fn a_trace_that_is_none_is_refused() {
+    let refused = |lines: &[Line]| {
+        let mut auditor = Auditor::new();
+        lines.iter().find_map(|line| auditor.take(line).err())
+    };
+    let lines = trace();
+    assert!(refused(&lines[1..]).unwrap().contains("law"));
+    let mut back = lines.to_vec();
+    back.swap(1, lines.len() - 1);
+    assert!(refused(&back).unwrap().contains("time"));
+    assert!(Line::read("{\"t\":1,\"e\":\"sung\"}").is_err());
+    let whole: Vec<Line> = lines.iter().map(|l| Line::read(&l.write()).unwrap()).collect();
+    assert!(whole == lines);
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -144,14 +144,7 @@
         idle_kept: s.span("idle_kept", Some(Duration::from_secs(30))),
         retry_after: Some(s.span("retry_after", Some(Duration::from_secs(2)))).filter(|d| !d.is_zero()),
     });
-    let rules = top.block("rules", |s| RuleTerms {
-        drain_grace: s.span("drain_grace", Some(Duration::from_secs(1))),
-        cold_from: s.number("cold_from", Some(0.4), 0.01..=1.0),
-        warm_within: s.span("warm_within", Some(Duration::from_secs(5))),
-        fall_multiple: s.number("fall_multiple", Some(3.0), 1.0..=1000.0),
-        fall_window: s.span("fall_window", Some(Duration::from_secs(1))),
-        ask_within: s.span("ask_within", Some(Duration::from_secs(10))),
-    });
+    let rules = top.block("rules", rules);
     let release = top.block("release", |s| release(s, marshals));
     let (methods, method_terms) = methods.into_iter().unzip();
     let (tenants, tenant_terms) = tenants.into_iter().unzip();
@@ -173,6 +166,18 @@
     Terms { places, bounds, rollout, methods, tenants, zones, kinds }
 }
 
+/// The block on the rules' figures.
+pub fn rules(s: &Sheet) -> RuleTerms {
+    RuleTerms {
+        drain_grace: s.span("drain_grace", Some(Duration::from_secs(1))),
+        cold_from: s.number("cold_from", Some(0.4), 0.01..=1.0),
+        warm_within: s.span("warm_within", Some(Duration::from_secs(5))),
+        fall_multiple: s.number("fall_multiple", Some(3.0), 1.0..=1000.0),
+        fall_window: s.span("fall_window", Some(Duration::from_secs(1))),
+        ask_within: s.span("ask_within", Some(Duration::from_secs(10))),
+    }
+}
+
 #[derive(Clone, Copy, PartialEq)]
 enum Kind {
     Idempotent,
@@ -180,7 +185,8 @@
     NonIdempotent,
 }
 
-fn method(s: &Sheet) -> MethodTerms {
+/// A method's block.
+pub fn method(s: &Sheet) -> MethodTerms {
     let kinds = [
         ("idempotent", Kind::Idempotent),
         ("tokened", Kind::Tokened),
@@ -215,7 +221,8 @@
     }
 }
 
-fn release(s: &Sheet, marshals: usize) -> ReleaseTerms {
+/// The block on releases.
+pub fn release(s: &Sheet, marshals: usize) -> ReleaseTerms {
     let shares = s.numbers("shares", Some(vec![0.1, 0.35, 1.0]), 0.0..=1.0);
     let caps = s.numbers("caps", Some(vec![0.14, 0.49, 1.0]), 0.0..=1.0);
     if shares.len() != caps.len() || shares.is_empty() {
--- a/crates/terms/src/sheet.rs
+++ b/crates/terms/src/sheet.rs
@@ -250,6 +250,12 @@
         }
     }
 
+    /// The blocks of these names as HCL again: for a file that another program will read.
+    pub fn copy(&self, names: &[&str]) -> String {
+        let kept = self.body.blocks().filter(|b| names.contains(&b.ident.as_str()));
+        Body::from_iter(kept.cloned()).to_string()
+    }
+
     /// Complains of all that was not asked for: a misspelt key must not pass as absent.
     fn close(&self) {
         let used = self.used.borrow();
