--- /dev/null
+++ b/crates/ivydrift/src/audit.rs
@@ -0,0 +1,71 @@
+//! `ivydrift audit`.
+
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::Args;
+use ivydrift_audit::trace::Line;
+use ivydrift_audit::{Auditor, Report};
+
+use crate::table::Played;
+
+#[derive(Args)]
+pub struct AuditCommand {
+    /// A trace, as `ivydrift day --keep` writes it
+    trace: PathBuf,
+    /// Print one JSON object
+    #[arg(long)]
+    json: bool,
+}
+
+impl AuditCommand {
+    pub fn run(self) -> ExitCode {
+        let name = self.trace.display().to_string();
+        match audit(&self.trace) {
+            Ok(report) => {
+                let (phases, course) = (vec![], vec![]);
+                let played =
+                    Played { simulated: true, report, phases, course, votes: 0, clean: vec![], leaked: 0 };
+                if self.json {
+                    println!("{}", played.json());
+                } else {
+                    print!("{}", played.rules());
+                }
+                if played.report.kept() {
+                    ExitCode::SUCCESS
+                } else {
+                    ExitCode::FAILURE
+                }
+            }
+            Err(what) => {
+                eprintln!("{name}: {what}");
+                ExitCode::from(2)
+            }
+        }
+    }
+}
+
+/// The longest line taken: no line that is written comes near it.
+const LINE_BYTES: u64 = 64 * 1024;
+
+fn audit(file: &PathBuf) -> Result<Report, String> {
+    let mut input = BufReader::new(File::open(file).map_err(|e| format!("cannot be read: {e}"))?);
+    let (mut auditor, mut text, mut number) = (Auditor::new(), String::new(), 0u64);
+    loop {
+        text.clear();
+        number += 1;
+        let mut bounded = std::io::Read::take(&mut input, LINE_BYTES);
+        match bounded.read_line(&mut text) {
+            Ok(0) => return Ok(auditor.finish()),
+            Ok(_) if !text.ends_with('\n') && text.len() as u64 == LINE_BYTES => {
+                return Err(format!("line {number}: longer than any line of a trace"));
+            }
+            Ok(_) => {}
+            Err(e) => return Err(format!("line {number}: {e}")),
+        }
+        let line = Line::read(&text).map_err(|e| format!("line {number}: {e}"))?;
+        auditor.take(&line)?;
+    }
+}
--- /dev/null
+++ b/crates/ivydrift/src/marshals.rs
@@ -0,0 +1,82 @@
+//! Marshals as processes of their own: this very program, run as `ivydrift edge`.
+
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use ivydrift_standin::sockets::Marshals;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+pub struct Processes {
+    folder: PathBuf,
+    children: Vec<Option<Child>>,
+}
+
+impl Processes {
+    pub fn new(folder: &Path, marshals: usize) -> Self {
+        Processes { folder: folder.to_owned(), children: (0..marshals).map(|_| None).collect() }
+    }
+
+    fn signal(&self, marshal: usize, signal: Signal) {
+        if let Some(child) = &self.children[marshal] {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+}
+
+impl Marshals for Processes {
+    fn start(&mut self, marshal: usize, terms: &str) -> io::Result<()> {
+        let file = self.folder.join(format!("edge-{marshal}.hcl"));
+        std::fs::write(&file, terms)?;
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("edge-{marshal}.log")))?;
+        let child = Command::new(std::env::current_exe()?)
+            .arg("edge")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        self.children[marshal] = Some(child);
+        Ok(())
+    }
+
+    fn kill(&mut self, marshal: usize) {
+        if let Some(mut child) = self.children[marshal].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn stop(&mut self, marshal: usize, still: bool) {
+        self.signal(marshal, if still { Signal::SIGSTOP } else { Signal::SIGCONT });
+    }
+
+    fn end(&mut self, marshal: usize) -> bool {
+        self.signal(marshal, Signal::SIGTERM);
+        let Some(mut child) = self.children[marshal].take() else { return false };
+        let by = Instant::now() + Duration::from_secs(8);
+        while Instant::now() < by {
+            match child.try_wait() {
+                Ok(Some(status)) => return status.success(),
+                Ok(None) => std::thread::sleep(Duration::from_millis(10)),
+                Err(_) => break,
+            }
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        false
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        // A stopped child cannot be ended but by a kill; none may outlive the day.
+        (0..self.children.len()).for_each(|m| self.kill(m));
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,3 +10,5 @@
 pub mod sockets;
 pub mod tally;
 pub mod town;
+
+pub use desk::Standing;
--- a/crates/standin/src/sockets.rs
+++ b/crates/standin/src/sockets.rs
@@ -1,1 +1,553 @@
-//! The town on loopback sockets.
+//! The town on loopback sockets, for marshals that run as processes. What happens is decided by
+//! [`crate::town::Town`]; here it is read, waited for and written, and the trace goes to its writer in the
+//! order in which the town saw it.
+
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Write};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use ivydrift_audit::trace::{Kind as Answer, Line};
+use ivydrift_audit::{Auditor, Report};
+use ivydrift_policy::port::Repeat;
+use ivydrift_sockets::coroutine::{go, pause, prepare};
+use ivydrift_sockets::Socket;
+use ivydrift_wire::body::{Part, Walk};
+use ivydrift_wire::http::{self, HeadWriter};
+use ivydrift_wire::{desk, list, orca, rpc};
+use may::net::TcpListener;
+
+use crate::day::{Addresses, Day};
+use crate::desk::Standing;
+use crate::tally::Phase;
+use crate::town::{Arrival, Ask, Do, End, Fate, Town};
+
+/// How far apart in time sockets in several processes on a busy machine see one thing.
+pub const SLACK: Duration = Duration::from_millis(150);
+
+/// Who runs the marshals.
+pub trait Marshals {
+    /// # Errors
+    /// When it cannot be started.
+    fn start(&mut self, marshal: usize, terms: &str) -> io::Result<()>;
+    fn kill(&mut self, marshal: usize);
+    fn stop(&mut self, marshal: usize, still: bool);
+    /// Tells it to end and waits; true where it left nothing unfinished.
+    fn end(&mut self, marshal: usize) -> bool;
+}
+
+/// How far the day is.
+pub struct Progress {
+    pub now: Duration,
+    pub asked: u64,
+    pub in_hand: usize,
+    pub standing: Standing,
+}
+
+pub struct Outcome {
+    pub report: Report,
+    pub phases: Vec<Phase>,
+    pub course: Vec<(Duration, Standing)>,
+    pub votes: u64,
+    /// Which marshals ended with nothing unfinished.
+    pub clean: Vec<bool>,
+    /// Connections to nodes, list and desk still open after all marshals have ended.
+    pub leaked: usize,
+}
+
+struct Hub {
+    address: SocketAddr,
+    shut: AtomicBool,
+    open: Mutex<HashMap<u64, Arc<Socket>>>,
+}
+
+struct Rig {
+    town: Mutex<Town>,
+    zero: Instant,
+    trace: Mutex<Sender<Line>>,
+    nodes: Mutex<HashMap<u32, Arc<Hub>>>,
+    servers: Mutex<Vec<Arc<Hub>>>,
+    idle: Mutex<HashMap<usize, Vec<Arc<Socket>>>>,
+    listens: Vec<SocketAddr>,
+    over: AtomicBool,
+}
+
+impl Rig {
+    fn now(&self) -> Duration {
+        self.zero.elapsed()
+    }
+
+    /// Calls the town, and hands its lines on before anybody else can add to them.
+    fn town<T>(&self, call: impl FnOnce(&mut Town, Duration) -> T) -> T {
+        let mut town = self.town.lock().unwrap();
+        let result = call(&mut town, self.now());
+        let trace = self.trace.lock().unwrap();
+        for line in town.lines() {
+            let _ = trace.send(line);
+        }
+        result
+    }
+}
+
+/// A free port below the range that connections going out are given.
+fn free_port(from: &mut u16) -> io::Result<SocketAddr> {
+    for _ in 0..5000 {
+        *from = if *from >= 31_000 { 21_000 } else { *from + 1 };
+        let addr = SocketAddr::from(([127, 0, 0, 1], *from));
+        if std::net::TcpListener::bind(addr).is_ok() && std::net::UdpSocket::bind(addr).is_ok() {
+            return Ok(addr);
+        }
+    }
+    Err(ErrorKind::AddrInUse.into())
+}
+
+/// Plays a day on sockets; `trace` is written line by line.
+///
+/// # Errors
+/// When sockets or marshals cannot be had, or the trace cannot be written.
+pub fn play(
+    day: Day, marshals: &mut dyn Marshals, mut trace: Option<Box<dyn Write + Send>>,
+    progress: &mut dyn FnMut(&Progress),
+) -> io::Result<Outcome> {
+    prepare(2);
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let (lasts, count) = (day.lasts, day.marshals);
+    let mut port = 21_000 + (std::process::id() % 9000) as u16;
+    let listens: Vec<SocketAddr> = (0..count).map(|_| free_port(&mut port)).collect::<io::Result<_>>()?;
+    let peers: Vec<SocketAddr> = (0..count).map(|_| free_port(&mut port)).collect::<io::Result<_>>()?;
+    let (send, receive) = channel::<Line>();
+    let rig = Arc::new(Rig {
+        town: Mutex::new(Town::new(day.clone(), unix.as_millis() as u64, SLACK)),
+        zero: Instant::now(),
+        trace: Mutex::new(send),
+        nodes: Mutex::default(),
+        servers: Mutex::default(),
+        idle: Mutex::default(),
+        listens: listens.clone(),
+        over: AtomicBool::new(false),
+    });
+    let checker = std::thread::spawn(move || -> io::Result<Report> {
+        let mut auditor = Auditor::new();
+        for line in receive {
+            if let Some(out) = &mut trace {
+                writeln!(out, "{}", line.write())?;
+            }
+            auditor.take(&line).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+        }
+        if let Some(out) = &mut trace {
+            out.flush()?;
+        }
+        Ok(auditor.finish())
+    });
+    let node_list = serve(&rig, None, answer_list)?;
+    let release_desk = serve(&rig, None, answer_desk)?;
+    let terms = |m: usize| {
+        let at = Addresses { listen: listens[m], node_list, release_desk, peers: peers.clone() };
+        day.terms(m, &at)
+    };
+    for m in 0..count {
+        marshals.start(m, &terms(m))?;
+    }
+    let mut next_report = Duration::ZERO;
+    while rig.now() < lasts {
+        let todo = rig.town(Town::step);
+        for one in todo {
+            match one {
+                Do::Open(_) | Do::Shut(_) => do_node(&rig, one),
+                Do::Stop(m) => marshals.stop(m, true),
+                Do::Continue(m) => marshals.stop(m, false),
+                Do::Kill(m) => marshals.kill(m),
+                Do::Start(m) => marshals.start(m, &terms(m))?,
+            }
+        }
+        for ask in rig.town(Town::asks) {
+            let rig = rig.clone();
+            go(move || client(&rig, ask));
+        }
+        let (next, in_hand, standing) = {
+            let town = rig.town.lock().unwrap();
+            (town.next_ask(), town.in_hand(), town.desk.standing)
+        };
+        if rig.now() >= next_report {
+            next_report = rig.now() + Duration::from_millis(250);
+            let asked = rig.town.lock().unwrap().phases.iter().map(|p| p.asked).sum();
+            progress(&Progress { now: rig.now(), asked, in_hand, standing });
+        }
+        let wait = next.map_or(Duration::MAX, |t| t.saturating_sub(rig.now()));
+        std::thread::sleep(wait.min(Duration::from_millis(4)));
+    }
+    for m in 0..count {
+        rig.town(|town, now| town.told_to_stop(now, m));
+    }
+    // Clients' own idle connections go first; a marshal waits for nobody else's.
+    rig.idle.lock().unwrap().clear();
+    let clean: Vec<bool> = (0..count).map(|m| marshals.end(m)).collect();
+    // Whoever served a marshal sees its connections close a moment later.
+    let hubs = || -> usize {
+        let nodes = rig.nodes.lock().unwrap();
+        let servers = rig.servers.lock().unwrap();
+        nodes.values().chain(servers.iter()).map(|h| h.open.lock().unwrap().len()).sum()
+    };
+    let by = Instant::now() + Duration::from_secs(2);
+    while hubs() > 0 && Instant::now() < by {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let leaked = hubs();
+    rig.over.store(true, Ordering::Release);
+    let servers: Vec<Arc<Hub>> = rig.servers.lock().unwrap().clone();
+    let nodes: Vec<Arc<Hub>> = rig.nodes.lock().unwrap().values().cloned().collect();
+    servers.iter().chain(&nodes).for_each(|hub| hub.close());
+    // The channel ends with its sender, and with it the checker.
+    let (last, _) = channel();
+    *rig.trace.lock().unwrap() = last;
+    let report = checker.join().map_err(|_| io::Error::other("the checker panicked"))??;
+    let mut town = rig.town.lock().unwrap();
+    let phases = std::mem::take(&mut town.phases);
+    let (course, votes) = (town.desk.log.clone(), town.desk.votes_counted);
+    Ok(Outcome { report, phases, course, votes, clean, leaked })
+}
+
+fn do_node(rig: &Arc<Rig>, one: Do) {
+    match one {
+        Do::Open(node) => {
+            let old = rig.nodes.lock().unwrap().get(&node).map(|h| h.address);
+            let served = serve(rig, Some((node, old)), answer_rpc);
+            if let Ok(address) = served {
+                rig.town(|town, now| town.opened(now, node, address.port()));
+            }
+        }
+        Do::Shut(node) => {
+            let hub = rig.nodes.lock().unwrap().get(&node).cloned();
+            if let Some(hub) = hub {
+                hub.close();
+            }
+        }
+        _ => {}
+    }
+}
+
+impl Hub {
+    fn close(&self) {
+        self.shut.store(true, Ordering::Release);
+        // An accept in progress wakes by a connection.
+        let _ = std::net::TcpStream::connect_timeout(&self.address, Duration::from_millis(100));
+        for socket in self.open.lock().unwrap().values() {
+            socket.cut();
+        }
+    }
+}
+
+/// One message from a connection, whole.
+struct Message {
+    request: http::Request,
+    body: Vec<u8>,
+}
+
+type Serve = fn(&Arc<Rig>, &Socket, u32, Message) -> bool;
+
+/// Listens and serves each connection by `answer`, message after message.
+fn serve(rig: &Arc<Rig>, node: Option<(u32, Option<SocketAddr>)>, answer: Serve) -> io::Result<SocketAddr> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    // A node that comes back listens where it did, if it can.
+    let again = node.and_then(|n| n.1).and_then(|addr| TcpListener::bind(addr).ok());
+    let listener = match again {
+        Some(listener) => listener,
+        None => TcpListener::bind(any)?,
+    };
+    let address = listener.local_addr()?;
+    let hub = Arc::new(Hub { address, shut: AtomicBool::new(false), open: Mutex::default() });
+    match node {
+        Some((number, _)) => {
+            rig.nodes.lock().unwrap().insert(number, hub.clone());
+        }
+        None => rig.servers.lock().unwrap().push(hub.clone()),
+    }
+    let (rig, number) = (rig.clone(), node.map_or(0, |n| n.0));
+    go(move || {
+        for name in 0u64.. {
+            let accepted = listener.accept();
+            if hub.shut.load(Ordering::Acquire) {
+                return;
+            }
+            let Ok((stream, _)) = accepted else {
+                pause(Duration::from_millis(5));
+                continue;
+            };
+            let socket = Arc::new(Socket::new(stream));
+            hub.open.lock().unwrap().insert(name, socket.clone());
+            let (rig, hub) = (rig.clone(), hub.clone());
+            go(move || {
+                let mut buf = Vec::new();
+                while let Some(message) = read_message(&rig, &hub, &socket, &mut buf, node.is_some()) {
+                    if !answer(&rig, &socket, number, message) {
+                        break;
+                    }
+                }
+                socket.cut();
+                hub.open.lock().unwrap().remove(&name);
+            });
+        }
+    });
+    Ok(address)
+}
+
+fn read_message(rig: &Rig, hub: &Hub, socket: &Socket, buf: &mut Vec<u8>, node: bool) -> Option<Message> {
+    let idle_since = Instant::now();
+    let fill = |buf: &mut Vec<u8>| -> Option<()> {
+        let mut part = [0; 4096];
+        loop {
+            let by = Instant::now() + Duration::from_millis(200);
+            match socket.read(&mut part, Some(by)) {
+                Ok(0) => return None,
+                Ok(n) => {
+                    buf.extend_from_slice(&part[..n]);
+                    return Some(());
+                }
+                Err(e) if e.kind() == ErrorKind::TimedOut => {
+                    let reap = rig.town.lock().unwrap().reap_after().filter(|_| node && buf.is_empty());
+                    let reaped = reap.is_some_and(|after| idle_since.elapsed() > after);
+                    if reaped || hub.shut.load(Ordering::Acquire) {
+                        return None;
+                    }
+                }
+                Err(_) => return None,
+            }
+        }
+    };
+    let request = loop {
+        match http::request(buf) {
+            Ok(Some((request, used))) => {
+                buf.drain(..used);
+                break request;
+            }
+            Ok(None) => fill(buf)?,
+            Err(_) => return None,
+        }
+    };
+    let (mut walk, mut body) = (Walk::new(request.framing), Vec::new());
+    loop {
+        match walk.step(buf) {
+            Ok(Part::Data(n)) => body.extend(buf.drain(..n)),
+            Ok(Part::Mark(n)) => drop(buf.drain(..n)),
+            Ok(Part::End) => return Some(Message { request, body }),
+            Ok(Part::Need) => fill(buf)?,
+            Err(_) => return None,
+        }
+    }
+}
+
+fn send(socket: &Socket, status: u16, fields: &[(&str, &str)], body: &[u8]) -> bool {
+    let mut head = HeadWriter::response(status).field("content-length", body.len().to_string());
+    for (name, value) in fields {
+        head = head.field(name, value);
+    }
+    let bytes = [&head.finish()[..], body].concat();
+    socket.write(&bytes, Instant::now() + Duration::from_secs(5)).is_ok()
+}
+
+fn asker(message: &Message) -> usize {
+    let name = message.request.fields.get("user-agent").unwrap_or("");
+    name.rsplit("marshal-").next().and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// Holds a question until there is an answer, its wait is over, or the asker has left.
+fn hold<T>(
+    rig: &Rig, socket: &Socket, message: &Message, down: impl Fn(&Town) -> bool,
+    ask: impl Fn(&mut Town, Duration, u64, bool) -> Option<T>,
+) -> Option<T> {
+    let index = list::query(&message.request.target, "index").unwrap_or(0);
+    let wait = list::query(&message.request.target, "wait").unwrap_or(0).min(60);
+    let by = Instant::now() + Duration::from_secs(wait);
+    loop {
+        let silent = down(&rig.town.lock().unwrap());
+        if socket.left() || rig.over.load(Ordering::Acquire) {
+            return None;
+        }
+        if !silent {
+            let must = index == 0 || Instant::now() >= by;
+            if let Some(answer) = rig.town(|town, now| ask(town, now, index, must)) {
+                return Some(answer);
+            }
+        }
+        pause(Duration::from_millis(15));
+    }
+}
+
+fn answer_list(rig: &Arc<Rig>, socket: &Socket, _: u32, message: Message) -> bool {
+    if rig.town.lock().unwrap().list_down() {
+        return false;
+    }
+    let marshal = asker(&message);
+    let told =
+        hold(rig, socket, &message, |_| false, |town, now, index, must| town.list(now, marshal, index, must));
+    let Some((index, nodes)) = told else { return false };
+    send(socket, 200, &[(list::INDEX, &index.to_string())], &list::write(&nodes))
+}
+
+fn answer_desk(rig: &Arc<Rig>, socket: &Socket, _: u32, message: Message) -> bool {
+    let marshal = asker(&message);
+    if message.request.verb == "POST" {
+        let Ok(vote) = desk::read::<desk::Vote>(&message.body) else { return send(socket, 400, &[], b"") };
+        return match rig.town(|town, now| town.vote(now, vote)) {
+            Some(answer) => send(socket, 200, &[], &desk::write(&answer)),
+            None => {
+                // No answer: the asker gives up by itself.
+                let _ = socket.read(&mut [0], Some(Instant::now() + Duration::from_secs(10)));
+                false
+            }
+        };
+    }
+    let told = hold(rig, socket, &message, Town::desk_down, |town, now, index, must| {
+        town.news(now, marshal, index, must)
+    });
+    told.is_some_and(|news| send(socket, 200, &[], &desk::write(&news)))
+}
+
+/// `id.call.key` of a try, as its client wrote it.
+fn traced(message: &Message) -> Option<(u64, u64, u64)> {
+    let mut parts = message.request.fields.get(rpc::TRACE)?.split('.').map(|p| p.parse().ok());
+    Some((parts.next()??, parts.next()??, parts.next()??))
+}
+
+fn answer_rpc(rig: &Arc<Rig>, socket: &Socket, node: u32, message: Message) -> bool {
+    let via = message.request.fields.get("via").unwrap_or("");
+    let marshal = via.rsplit("ivydrift-").next().and_then(|n| n.parse().ok());
+    let name = rpc::method_of(&message.request.target);
+    let Some((marshal, (id, call, key))) = marshal.zip(traced(&message)) else {
+        return send(socket, 400, &[], b"not from a marshal\n");
+    };
+    let arrived = rig.town(|town, now| {
+        let method = town.day.methods.iter().position(|m| m.0 == name)?;
+        let build = town.nodes.get(node as usize)?.build;
+        let (fate, todo) = town.arrive(now, node, &Arrival { id, call, marshal, method, key })?;
+        Some((fate, todo, build))
+    });
+    let Some((fate, todo, build)) = arrived else { return false };
+    todo.into_iter().for_each(|one| do_node(rig, one));
+    let (at, answer) = match fate {
+        Fate::Silence => (Duration::from_secs(3600), None),
+        Fate::Cut(at) => (at, None),
+        Fate::Answer { at, status, never_ran, load } => (at, Some((status, never_ran, load))),
+    };
+    // Work goes on until it is done, or the marshal closes: nothing else may come meanwhile.
+    let waited = socket.read(&mut [0], Some(rig.zero + at));
+    let given_up = !matches!(waited, Err(e) if e.kind() == ErrorKind::TimedOut);
+    let fine = match answer.filter(|_| !given_up) {
+        Some((status, never_ran, load)) => {
+            // Its line must stand before the marshal can act on it.
+            rig.town(|town, now| town.done(now, node, id, status == 200));
+            let (load, build) = (load.write(), format!("build {build} node {node}\n"));
+            let mut fields = vec![(orca::FIELD, load.as_str())];
+            if never_ran {
+                fields.push((rpc::NEVER_RAN, "1"));
+            }
+            return send(socket, status, &fields, build.as_bytes());
+        }
+        None => false,
+    };
+    rig.town(|town, now| town.done(now, node, id, false));
+    fine
+}
+
+// ---- clients ---------------------------------------------------------------------------------------------
+
+fn client(rig: &Arc<Rig>, ask: Ask) {
+    let end = call(rig, &ask);
+    rig.town(|town, now| town.ended(now, ask.id, end));
+}
+
+fn call(rig: &Arc<Rig>, ask: &Ask) -> End {
+    let began = Instant::now();
+    let until = began + ask.left;
+    let leave = ask.leaves.map_or(until, |l| began + l);
+    let gone = if ask.leaves.is_some() { End::Left } else { End::TimeUp };
+    let idle = rig.idle.lock().unwrap().get_mut(&ask.marshal).and_then(Vec::pop);
+    let socket = match idle.filter(|s| s.quiet()) {
+        Some(socket) => socket,
+        None => {
+            match Socket::connect(rig.listens[ask.marshal], leave.saturating_duration_since(Instant::now())) {
+                Ok(socket) => Arc::new(socket),
+                Err(e) if e.kind() == ErrorKind::TimedOut => return gone,
+                Err(_) => return End::Refused,
+            }
+        }
+    };
+    let (name, tokened) = {
+        let town = rig.town.lock().unwrap();
+        let (name, terms, _) = &town.day.methods[ask.method];
+        (name.clone(), matches!(terms.repeat, Repeat::Tokened { .. }))
+    };
+    let mut head = HeadWriter::request("POST", &format!("/{name}"))
+        .field("host", "town")
+        .field(rpc::TIMEOUT, rpc::write_timeout(until.saturating_duration_since(Instant::now())))
+        .field(rpc::TRACE, format!("{}.{}.{}", ask.id, ask.call, ask.key))
+        .field(rpc::EARLIER_TRIES, (ask.tries - 1).to_string())
+        .field("content-length", "5");
+    if tokened {
+        head = head.field(rpc::TOKEN, ask.call.to_string());
+    }
+    if ask.key != 0 {
+        head = head.field(rpc::KEY, ask.key.to_string());
+    }
+    let bytes = [&head.finish()[..], b"ask\r\n"].concat();
+    if socket.write(&bytes, until).is_err() {
+        return End::Broken;
+    }
+    let mut buf = Vec::new();
+    let answer = match read_answer(&socket, &mut buf, leave) {
+        Ok(answer) => answer,
+        Err(e) if e.kind() == ErrorKind::TimedOut => {
+            socket.cut();
+            return gone;
+        }
+        Err(_) => return End::Broken,
+    };
+    let fields = &answer.fields;
+    let Some(kind) = rpc::Kind::read(fields) else { return End::Broken };
+    let number = |name| fields.get(name).and_then(|n| n.parse().ok()).unwrap_or(0);
+    let retry_after = Duration::from_millis(number(rpc::RETRY_AFTER_MS).into());
+    if !buf.is_empty() {
+        rig.town(|town, now| town.extra(now, ask.id));
+    } else if answer.keep_alive {
+        rig.idle.lock().unwrap().entry(ask.marshal).or_default().push(socket);
+    }
+    let kind = match kind {
+        rpc::Kind::Ok => Answer::Ok,
+        rpc::Kind::PushedBack => Answer::PushedBack,
+        rpc::Kind::Aborted => Answer::Aborted,
+    };
+    End::Answered { kind, build: number(rpc::BUILD), picks: number(rpc::PICKS), retry_after }
+}
+
+fn read_answer(socket: &Socket, buf: &mut Vec<u8>, by: Instant) -> io::Result<http::Response> {
+    let fill = |buf: &mut Vec<u8>| -> io::Result<()> {
+        let mut part = [0; 4096];
+        let n = socket.read(&mut part, Some(by))?;
+        buf.extend_from_slice(&part[..n]);
+        if n == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        Ok(())
+    };
+    let bad = |_| io::Error::from(ErrorKind::InvalidData);
+    let head = loop {
+        match http::response(buf, false).map_err(bad)? {
+            Some((head, used)) => {
+                buf.drain(..used);
+                break head;
+            }
+            None => fill(buf)?,
+        }
+    };
+    let mut walk = Walk::new(head.framing);
+    loop {
+        match walk.step(buf).map_err(bad)? {
+            Part::Data(n) | Part::Mark(n) => drop(buf.drain(..n)),
+            Part::End => return Ok(head),
+            Part::Need => fill(buf)?,
+        }
+    }
+}
