--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -50,8 +50,10 @@
     ids: AtomicU64,
     stop: AtomicBool,
     watching: AtomicBool,
-    /// When the process was last seen to have stood still, in milliseconds of our time.
+    /// When the process was last seen to have stood still, and when the clock coroutine last ran, in
+    /// milliseconds of our time.
     stood: AtomicU64,
+    ticked: AtomicU64,
     complained: Mutex<Vec<ivydrift_marshal::Rejected>>,
 }
 
@@ -69,9 +71,12 @@
         self.stop.load(Ordering::Acquire)
     }
 
+    /// The process stood still a moment ago. Whichever coroutine wakes first must see it, so the clock's last
+    /// run counts as well as what the clock has found.
     fn stalled(&self) -> bool {
-        let stood = Duration::from_millis(self.stood.load(Ordering::Relaxed));
-        !stood.is_zero() && self.now() < stood + Duration::from_secs(5)
+        let at = |ms: &AtomicU64| Duration::from_millis(ms.load(Ordering::Relaxed));
+        let (stood, ticked, now) = (at(&self.stood), at(&self.ticked), self.now());
+        now > ticked + STALL || (!stood.is_zero() && now < stood + Duration::from_secs(5))
     }
 
     /// Takes an RPC in hand and hears what to do first.
@@ -217,6 +222,7 @@
         stop: AtomicBool::new(false),
         watching: AtomicBool::new(false),
         stood: AtomicU64::new(0),
+        ticked: AtomicU64::new(0),
         complained: Mutex::default(),
         core: Mutex::new(Core::new(terms, zero_ms)),
     });
@@ -242,6 +248,7 @@
             // Clients that left meanwhile first: nothing more is sent for them.
             ticking.look_at_clients();
         }
+        ticking.ticked.store(ticking.now().as_millis() as u64, Ordering::Relaxed);
         ticking.tell(Input::Tick, 0);
     });
     let looking = edge.clone();
@@ -285,6 +292,11 @@
         self.edge.counts()
     }
 
+    /// How many nodes are known to be ready.
+    pub fn nodes(&self) -> usize {
+        self.edge.core.lock().unwrap().ready()
+    }
+
     /// Stops accepting, finishes what is held, and returns within the longest deadline; true where nothing was
     /// left unfinished.
     pub fn stop(&self) -> bool {
--- /dev/null
+++ b/crates/edge/tests/hard/machine.rs
@@ -0,0 +1,179 @@
+use std::process::{Child, Command, Stdio};
+use std::time::Instant;
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+use crate::scene::*;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_ivydrift-edge");
+
+/// A marshal as a process, ended with the test.
+struct Process {
+    child: Child,
+    listens: std::net::SocketAddr,
+    _file: std::path::PathBuf,
+}
+
+impl Process {
+    /// `limit`: descriptors that it may have.
+    fn start(name: &str, town: &Town, limit: Option<u32>) -> Self {
+        let listens = nobody();
+        let text = terms(town, &[("127.0.0.1:0", &listens.to_string())]);
+        let file = std::env::temp_dir().join(format!("ivydrift-{name}-{}.hcl", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        let limit = limit.map_or(String::new(), |n| format!("ulimit -n {n}; "));
+        let child = Command::new("/bin/sh")
+            .args(["-c", &format!("{limit}exec \"$0\" \"$1\""), BINARY])
+            .arg(&file)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        wait_for("the marshal's start", ms(5000), || std::net::TcpStream::connect(listens).is_ok());
+        Process { child, listens, _file: file }
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+
+    fn rpc(&self, method: &str, fields: &str) -> Option<Answer> {
+        let mut stream = connect(self.listens);
+        say(&mut stream, &message(method, fields, "x"));
+        answer(&mut stream)
+    }
+
+    fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self._file);
+    }
+}
+
+#[test]
+fn told_to_stop_it_finishes_what_it_holds_and_takes_nothing_new() {
+    let slow = node(Box::new(|_, s| {
+        std::thread::sleep(ms(400));
+        ok(s, "done")
+    }));
+    let mut marshal = Process::start("stop", &town(&[slow.addr]), None);
+    marshal.rpc("calendar-read", "").unwrap();
+    let (mut held, mut idle) = (connect(marshal.listens), connect(marshal.listens));
+    say(&mut held, &message("pickup-book", "", "x"));
+    wait_for("the pick", ms(1000), || slow.messages() == 2);
+    marshal.signal(Signal::SIGTERM);
+    assert!(closes(&mut idle, ms(300)), "an idle connection holds it up");
+    assert!(std::net::TcpStream::connect(marshal.listens).is_err(), "it still accepts");
+    assert_eq!(answer(&mut held).unwrap().body, "done");
+    let began = Instant::now();
+    assert!(marshal.child.wait().unwrap().success());
+    assert!(began.elapsed() < ms(1000));
+}
+
+#[test]
+fn standing_still_for_three_seconds_it_answers_each_rpc_once_and_sends_none_for_those_who_left() {
+    let slow = node(Box::new(|_, s| {
+        std::thread::sleep(ms(100));
+        ok(s, "done")
+    }));
+    let marshal = Process::start("still", &town(&[slow.addr]), None);
+    marshal.rpc("calendar-read", "").unwrap();
+    let mut held = connect(marshal.listens);
+    say(&mut held, &message("pickup-book", "", "x"));
+    wait_for("the pick", ms(1000), || slow.messages() == 2);
+    marshal.signal(Signal::SIGSTOP);
+    // These come while it stands still, and their clients give up.
+    let gone: Vec<_> = (0..5)
+        .map(|_| {
+            let mut stream = connect(marshal.listens);
+            say(&mut stream, &message("pickup-book", "grpc-timeout: 500m\r\n", "x"));
+            stream
+        })
+        .collect();
+    std::thread::sleep(ms(600));
+    drop(gone);
+    std::thread::sleep(ms(2400));
+    marshal.signal(Signal::SIGCONT);
+    // The one that it held: the node's answer waits in its socket, the client's time is just up.
+    let first = answer(&mut held).unwrap();
+    assert!(matches!(first.kind(), "ok" | "aborted"), "{first:?}");
+    std::thread::sleep(ms(300));
+    assert_eq!(slow.messages(), 2, "an RPC went out for a client that had left");
+    assert!(closes(&mut held, ms(300)) || marshal.rpc("calendar-read", "").is_some());
+    assert_eq!(marshal.rpc("calendar-read", "").unwrap().kind(), "ok");
+}
+
+#[test]
+fn out_of_descriptors_it_waits_and_then_serves_on() {
+    let fine = good("fine");
+    let marshal = Process::start("few", &town(&[fine.addr]), Some(40));
+    assert_eq!(marshal.rpc("calendar-read", "").unwrap().kind(), "ok");
+    let crowd: Vec<_> = (0..80).map(|_| connect(marshal.listens)).collect();
+    std::thread::sleep(ms(300));
+    assert!(marshal.descriptors() >= 38, "the limit was not reached");
+    drop(crowd);
+    wait_for("an answer", ms(5000), || marshal.rpc("pickup-book", "").is_some_and(|a| a.kind() == "ok"));
+}
+
+#[test]
+fn connections_and_descriptors_end_where_they_should() {
+    let fine = good("fine");
+    let marshal = Process::start("leak", &town(&[fine.addr]), None);
+    marshal.rpc("calendar-read", "").unwrap();
+    std::thread::sleep(ms(200));
+    let before = marshal.descriptors();
+    for round in 0..300 {
+        let mut stream = connect(marshal.listens);
+        match round % 4 {
+            0 => _ = say(&mut stream, &message("calendar-read", "", "x")),
+            1 => _ = say(&mut stream, "POST /calendar-re"),
+            2 => _ = say(&mut stream, "nonsense\r\n\r\n"),
+            _ => {
+                say(&mut stream, &message("calendar-read", "", "x"));
+                answer(&mut stream).unwrap();
+            }
+        }
+    }
+    // Connections to the node may rest; clients' may not.
+    let kept = *fine.connections.lock().unwrap();
+    wait_for("the end of all clients", ms(4000), || marshal.descriptors() <= before + kept.min(20));
+}
+
+#[test]
+fn a_list_that_comes_later_is_asked_again() {
+    let fine = good("fine");
+    let town = town(&[fine.addr]);
+    town.list_up.store(false, std::sync::atomic::Ordering::SeqCst);
+    let marshal = Process::start("later", &town, None);
+    assert_eq!(marshal.rpc("calendar-read", "grpc-timeout: 300m\r\n").unwrap().kind(), "pushed-back");
+    town.list_up.store(true, std::sync::atomic::Ordering::SeqCst);
+    wait_for("an ok", ms(8000), || {
+        marshal.rpc("calendar-read", "grpc-timeout: 300m\r\n").is_some_and(|a| a.kind() == "ok")
+    });
+}
+
+#[test]
+fn a_second_marshal_on_the_same_address_does_not_start() {
+    let fine = good("fine");
+    let marshal = Process::start("first", &town(&[fine.addr]), None);
+    let second = Command::new(BINARY).arg(&marshal._file).output().unwrap();
+    assert_eq!(second.status.code(), Some(1));
+    assert!(String::from_utf8_lossy(&second.stderr).contains("cannot be had"));
+}
+
+#[test]
+fn wrong_terms_are_told_by_line_and_nothing_starts() {
+    let file = std::env::temp_dir().join(format!("ivydrift-wrong-{}.hcl", std::process::id()));
+    std::fs::write(&file, ivydrift_terms::EXAMPLE.replace("utility = 6", "utility = \"much\"")).unwrap();
+    let run = Command::new(BINARY).arg(&file).output().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    let said = String::from_utf8_lossy(&run.stderr).into_owned();
+    assert_eq!(run.status.code(), Some(2));
+    assert!(said.contains(".hcl:39:") && said.contains("write a number"), "{said}");
+}
--- /dev/null
+++ b/crates/edge/tests/hard/nodes.rs
@@ -0,0 +1,173 @@
+use std::net::Shutdown;
+
+use crate::scene::*;
+
+#[test]
+fn a_node_that_answers_twice_gives_nobody_a_stray_answer() {
+    let twice = node(Box::new(|nth, s| ok(s, &format!("answer {nth}")) && ok(s, "stray")));
+    let scene = Scene::new(&[twice.addr]);
+    let mut stream = scene.connect();
+    for nth in 0..5 {
+        say(&mut stream, &message("calendar-read", "", "x"));
+        assert_eq!(answer(&mut stream).unwrap().body, format!("answer {nth}"));
+        // The stray comes at once or a moment later, on a connection that may rest already.
+        std::thread::sleep(ms(if nth % 2 == 0 { 0 } else { 20 }));
+    }
+}
+
+#[test]
+fn an_rpc_that_provably_never_ran_goes_to_another_node() {
+    // Nobody listens there; or the node turns it away unseen.
+    let fine = good("fine");
+    let scene = Scene::new(&[nobody(), nobody(), fine.addr]);
+    for _ in 0..8 {
+        let answer = scene.rpc("pickup-book", "", "x");
+        assert_eq!((answer.kind(), &*answer.body), ("ok", "fine"));
+    }
+    let full = node(Box::new(|_, s| {
+        say(s, "HTTP/1.1 503 Full\r\nIvydrift-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+    }));
+    let fine = good("fine");
+    let scene = Scene::new(&[full.addr, fine.addr]);
+    for _ in 0..40 {
+        assert_eq!(scene.rpc("pickup-book", "", "x").kind(), "ok");
+    }
+    assert!(full.messages() > 0, "the full node was never tried");
+}
+
+#[test]
+fn an_rpc_that_may_have_run_goes_nowhere_else_and_is_not_pushed_back() {
+    type Ends = fn(&mut std::net::TcpStream) -> bool;
+    let ends: [(&str, Ends); 7] = [
+        ("reset after the send", |s| {
+            let _ = s.shutdown(Shutdown::Both);
+            false
+        }),
+        ("half a head", |s| !say(s, "HTTP/1.1 200 O")),
+        ("half a body", |s| !say(s, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc")),
+        ("no HTTP", |s| say(s, "SSH-2.0-nonsense\r\n\r\n")),
+        ("two lengths", |s| say(s, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nabc")),
+        ("a plain 503", |s| say(s, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")),
+        ("an ok that never ran", |s| {
+            say(s, "HTTP/1.1 500 Oh\r\nIvydrift-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+        }),
+    ];
+    for (what, end) in ends {
+        let nodes = [node(Box::new(move |_, s| end(s))), node(Box::new(move |_, s| end(s)))];
+        let scene = Scene::new(&[nodes[0].addr, nodes[1].addr]);
+        let answer = scene.rpc("pickup-book", "grpc-timeout: 900m\r\n", "x");
+        assert_eq!(answer.kind(), "aborted", "{what}");
+        assert_eq!(nodes[0].messages() + nodes[1].messages(), 1, "{what}: sent again");
+    }
+}
+
+#[test]
+fn an_idle_connection_that_died_unseen_costs_a_non_idempotent_rpc_nothing() {
+    // The node closes each connection a moment after its answer, without having said so.
+    let reaps = node(Box::new(|_, s| {
+        ok(s, "fine");
+        std::thread::sleep(ms(10));
+        false
+    }));
+    let scene = Scene::new(&[reaps.addr]);
+    for _ in 0..6 {
+        let answer = scene.rpc("pickup-book", "", "x");
+        assert_eq!((answer.kind(), answer.field("ivydrift-picks")), ("ok", Some("1")));
+        std::thread::sleep(ms(60));
+    }
+    assert_eq!(reaps.messages(), 6);
+}
+
+#[test]
+fn an_rpc_that_must_not_run_twice_takes_no_connection_that_rested_long() {
+    let fine = good("fine");
+    let scene = Scene::new(&[fine.addr]);
+    scene.rpc("calendar-read", "", "x");
+    std::thread::sleep(ms(1150));
+    scene.rpc("pickup-book", "", "x");
+    assert_eq!(*fine.connections.lock().unwrap(), 2, "it went over a connection that may have died unseen");
+    scene.rpc("calendar-read", "", "x");
+    assert_eq!(*fine.connections.lock().unwrap(), 2, "an idempotent one takes what there is");
+}
+
+#[test]
+fn an_answer_after_the_pick_was_given_up_is_for_nobody() {
+    let late = node(Box::new(|_, s| {
+        std::thread::sleep(ms(400));
+        ok(s, "late")
+    }));
+    let scene = Scene::new(&[late.addr]);
+    let mut stream = scene.connect();
+    say(&mut stream, &message("pickup-book", "grpc-timeout: 200m\r\n", "x"));
+    let first = answer(&mut stream).unwrap();
+    assert_eq!(
+        (first.status, first.kind(), first.field("ivydrift-why")),
+        (504, "aborted", Some("timed-out"))
+    );
+    std::thread::sleep(ms(400));
+    // The next RPC of the connection gets its own answer, and not the late one.
+    say(&mut stream, &message("calendar-nothing", "", ""));
+    assert_eq!(answer(&mut stream).unwrap().status, 404);
+}
+
+#[test]
+fn the_answer_comes_before_the_client_s_time_is_up() {
+    let silent = node(Box::new(|_, s| !closes(s, ms(3000))));
+    let scene = Scene::new(&[silent.addr]);
+    for (method, timeout) in [("pickup-book", 300), ("calendar-read", 300), ("pickup-book", 60)] {
+        let began = std::time::Instant::now();
+        scene.rpc(method, &format!("grpc-timeout: {timeout}m\r\n"), "x");
+        assert!(began.elapsed() < ms(timeout + 15), "{method} took {:?} of {timeout} ms", began.elapsed());
+    }
+}
+
+#[test]
+fn a_passed_answer_that_breaks_off_ends_the_client_s_connection() {
+    let breaks = node(Box::new(|_, s| {
+        say(s, &format!("HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n{}", "x".repeat(40_000)));
+        std::thread::sleep(ms(50));
+        false
+    }));
+    let scene = Scene::new(&[breaks.addr]);
+    let mut stream = scene.connect();
+    say(&mut stream, &message("calendar-read", "", "x"));
+    assert!(answer(&mut stream).is_none(), "a broken answer passed as whole");
+    // In chunks: the last chunk must not come.
+    let breaks = node(Box::new(|_, s| {
+        say(
+            s,
+            &format!(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9c40\r\n{}\r\n",
+                "x".repeat(40_000)
+            ),
+        );
+        std::thread::sleep(ms(50));
+        false
+    }));
+    let scene = Scene::new(&[breaks.addr]);
+    let mut stream = scene.connect();
+    say(&mut stream, &message("calendar-read", "", "x"));
+    let mut all = Vec::new();
+    let _ = std::io::Read::read_to_end(&mut stream, &mut all);
+    assert!(all.len() >= 40_000 && !all.ends_with(b"0\r\n\r\n"));
+}
+
+#[test]
+fn short_answers_of_any_framing_are_passed_whole() {
+    for (text, body) in [
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "abc"),
+        ("HTTP/1.1 200 OK\r\n\r\nuntil the end", "until the end"),
+        ("HTTP/1.1 102 Wait\r\n\r\nHTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno", "no"),
+        ("HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nab", "ab"),
+        ("HTTP/1.1 204 None\r\n\r\n", ""),
+    ] {
+        let one = node(Box::new(move |_, s| say(s, text) && !text.contains("until")));
+        let scene = Scene::new(&[one.addr]);
+        let mut stream = scene.connect();
+        say(&mut stream, &message("calendar-read", "", "x"));
+        let got = answer(&mut stream).unwrap();
+        assert_eq!((got.kind(), &*got.body), ("ok", body), "{text:?}");
+        say(&mut stream, &message("calendar-read", "", "x"));
+        assert_eq!(answer(&mut stream).unwrap().body, body, "the connection goes on");
+    }
+}
--- a/crates/marshal/src/directory.rs
+++ b/crates/marshal/src/directory.rs
@@ -60,6 +60,10 @@
         Event::Nodes { scope: Scope::Full, nodes: present.copied().collect() }
     }
 
+    pub fn ready(&self) -> usize {
+        self.entries.values().filter(|e| e.readiness == Readiness::Ready).count()
+    }
+
     /// The oldest build that a listed node runs.
     pub fn oldest(&self) -> Build {
         let present = self.entries.values().filter(|e| e.readiness != Readiness::Gone);
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -268,6 +268,14 @@
         Counts { held: self.rpcs.len(), ..self.counts }
     }
 
+    /// How many nodes may be sent to, as far as the module has been told.
+    pub fn ready(&self) -> usize {
+        if self.early.is_some() {
+            return 0;
+        }
+        self.directory.ready()
+    }
+
     /// What was wrong with the latest list, node by node.
     pub fn rejected(&self) -> &[Rejected] {
         &self.directory.rejected
