--- a/crates/ivydrift/src/day.rs
+++ b/crates/ivydrift/src/day.rs
@@ -8,11 +8,58 @@
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
 use ivydrift_standin::day::{self, Day};
-use ivydrift_standin::{sim, sockets};
+use ivydrift_standin::{bench, sim, sockets};
 
 use crate::marshals::Processes;
 use crate::table::Played;
 
+/// A day file as the operators' bench draws it.
+#[derive(Args)]
+pub struct BenchDayCommand {
+    /// The day file (JSON), read in place
+    file: PathBuf,
+    /// Print the script that is played, and end
+    #[arg(long)]
+    script: bool,
+    /// Play in virtual time
+    #[arg(long)]
+    sim: bool,
+    #[arg(long)]
+    json: bool,
+    /// Keep trace, terms and logs in this folder
+    #[arg(long, value_name = "DIR")]
+    keep: Option<PathBuf>,
+}
+
+impl BenchDayCommand {
+    pub fn run(self) -> ExitCode {
+        let name = self.file.display().to_string();
+        let read = std::fs::read_to_string(&self.file).map_err(|e| format!("cannot be read: {e}"));
+        let carried = match read.and_then(|text| bench::read(&text)) {
+            Ok(carried) => carried,
+            Err(what) => {
+                eprintln!("{name}: {what}");
+                return ExitCode::from(2);
+            }
+        };
+        if self.script {
+            print!("{}", carried.script);
+            return ExitCode::SUCCESS;
+        }
+        let day = match day::read(&name, &carried.script) {
+            Ok(day) => day,
+            Err(complaints) => {
+                eprintln!("{complaints}");
+                return ExitCode::from(2);
+            }
+        };
+        eprintln!("{name}: played at {:.2} of its size; not carried over:", carried.scale);
+        carried.lost.iter().for_each(|what| eprintln!("  - {what}"));
+        let (sim, json, keep) = (self.sim, self.json, self.keep);
+        DayCommand { file: None, short: false, seed: None, sim, json, keep }.play(day)
+    }
+}
+
 #[derive(Args)]
 pub struct DayCommand {
     /// The day's script; without it the built-in bad day
@@ -36,13 +83,16 @@
 
 impl DayCommand {
     pub fn run(self) -> ExitCode {
-        let day = match self.script() {
-            Ok(day) => day,
+        match self.script() {
+            Ok(day) => self.play(day),
             Err(what) => {
                 eprintln!("{what}");
-                return ExitCode::from(2);
+                ExitCode::from(2)
             }
-        };
+        }
+    }
+
+    fn play(&self, day: Day) -> ExitCode {
         let played = if self.sim { self.in_virtual_time(day) } else { self.on_sockets(day) };
         match played {
             Ok(played) => {
--- a/crates/ivydrift/src/main.rs
+++ b/crates/ivydrift/src/main.rs
@@ -32,6 +32,10 @@
     /// Exit codes: 0 every rule was kept and every RPC had one answer; 1 not so; 2 the command or the script is
     /// wrong; 3 the day could not be played.
     Day(day::DayCommand),
+    /// Play a day file of the operators' bench through real marshals
+    ///
+    /// Says what of it could not be carried over. Exit codes as for day.
+    BenchDay(day::BenchDayCommand),
     /// Check a file of terms, or a day's script, whole
     ///
     /// Exit codes: 0 it is right; 2 it is not, each fault on a line with file, line and column.
@@ -52,6 +56,7 @@
 fn main() -> ExitCode {
     match Ivydrift::parse().command {
         Command::Day(command) => command.run(),
+        Command::BenchDay(command) => command.run(),
         Command::Check { file, day } => check(&file, day),
         Command::Audit(command) => command.run(),
         Command::Edge(command) => command.run(),
--- /dev/null
+++ b/crates/standin/src/bench.rs
@@ -0,0 +1,381 @@
+//! A day file as the operators' bench draws it (JSON), played by our stand-ins: the same kinds, times and
+//! sizes of trouble, on a fleet of the same shape. What the stand-ins have no like of is said, never guessed.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use serde_json::Value;
+
+/// The most RPCs a second that one machine is asked to play; larger days are scaled down, fleet and traffic
+/// alike.
+pub const MOST_RATE: f64 = 400.0;
+
+/// A day's script as HCL, and what could not be carried over.
+pub struct Carried {
+    pub script: String,
+    pub lost: Vec<String>,
+    /// The part of the bench's fleet and traffic that is played.
+    pub scale: f64,
+}
+
+struct Page<'a> {
+    day: &'a Value,
+    lost: Vec<String>,
+}
+
+impl Page<'_> {
+    fn at(&self, path: &str) -> Result<&Value, String> {
+        self.day.pointer(path).ok_or_else(|| format!("the day file has no {path}: is it one of the bench's?"))
+    }
+    fn number(&self, path: &str) -> Result<f64, String> {
+        self.at(path)?.as_f64().ok_or_else(|| format!("{path} is not a number"))
+    }
+    fn list(&self, path: &str) -> Result<&Vec<Value>, String> {
+        self.at(path)?.as_array().ok_or_else(|| format!("{path} is not a list"))
+    }
+    fn lose(&mut self, what: impl Into<String>) {
+        self.lost.push(what.into());
+    }
+}
+
+fn number(value: &Value, key: &str) -> Result<f64, String> {
+    value.get(key).and_then(Value::as_f64).ok_or_else(|| format!("{key} is not a number there"))
+}
+
+fn text<'a>(value: &'a Value, key: &str) -> Result<&'a str, String> {
+    value.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key} is not a text there"))
+}
+
+fn span(us: f64) -> String {
+    format!("\"{}us\"", us.max(0.0).round())
+}
+
+/// Reads a bench day.
+///
+/// # Errors
+/// A sentence on what is missing.
+pub fn read(json: &str) -> Result<Carried, String> {
+    let day: Value = serde_json::from_str(json).map_err(|e| format!("not JSON: {e}"))?;
+    let mut page = Page { day: &day, lost: Vec::new() };
+    if page.at("/family")? != "rollout" {
+        return Err("the day is of another family than rollout".to_owned());
+    }
+    let zones: Vec<String> =
+        page.list("/zones")?.iter().map(|z| z.as_str().unwrap_or("zone").to_owned()).collect();
+    let places = page.number("/fam/places")? as usize;
+    let servers: Vec<Value> = page.list("/servers")?.iter().take(places).cloned().collect();
+    let kinds = page.list("/tiers/0/kinds")?.clone();
+    let classes = page.list("/classes")?.clone();
+    let marshals = page.list("/balancers")?.len();
+
+    let mut speeds: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
+    for server in &servers {
+        speeds.entry(number(server, "kind")? as usize).or_default().push(number(server, "speed")?);
+    }
+    let cores = number(&kinds[0], "cores")?;
+    if kinds.iter().any(|k| number(k, "cores") != Ok(cores)) {
+        page.lose("machine kinds differ in cores: all have those of the first");
+    }
+    let capacity: f64 = speeds.values().flatten().sum::<f64>() * cores;
+    let shares: f64 = classes.iter().map(|c| number(c, "share").unwrap_or(0.0)).sum();
+    let mut work = 0.0;
+    for class in &classes {
+        work += number(class, "share")? / shares * number(class, "work")? / 1e6;
+    }
+    let rate = page.number("/traffic/load")? * capacity / work;
+    let scale = (MOST_RATE / rate).min(1.0);
+    let (nodes, rate) = (((places as f64 * scale).round() as usize).max(2), rate * scale);
+
+    let mut out = String::new();
+    let length = page.number("/length")?;
+    let tail = 4e6;
+    let _ = writeln!(out, "seed = {}", (page.number("/noise")? as u64) % 1_000_000);
+    let _ = writeln!(out, "lasts = {}", span(length + tail));
+    let _ = writeln!(out, "marshals = {marshals}");
+    let _ =
+        writeln!(out, "zones = [{}]", zones.iter().map(|z| format!("{z:?}")).collect::<Vec<_>>().join(", "));
+    let _ = writeln!(out, "peers = {}", page.at("/allow/peers")?.as_bool().unwrap_or(false));
+    let _ = writeln!(out, "list_lag = {}", span(page.number("/discovery/add")?));
+    let _ = writeln!(out, "desk_lag = {}", span(page.number("/fam/told_late")?));
+    for class in &classes {
+        method(&mut out, &mut page, class, shares)?;
+    }
+    for (kind, speeds) in &speeds {
+        let name = text(&kinds[*kind], "name")?;
+        let mean = speeds.iter().sum::<f64>() / speeds.len() as f64;
+        let share = speeds.len() as f64 / servers.len() as f64;
+        let _ = writeln!(out, "machine {name:?} {{\n  share = {share:.4}\n  speed = {mean:.4}\n}}");
+    }
+    let least = |key: &str| kinds.iter().filter_map(|k| number(k, key).ok()).fold(f64::INFINITY, f64::min);
+    let most = |key: &str| kinds.iter().filter_map(|k| number(k, key).ok()).fold(0.0, f64::max);
+    let cancels = kinds.iter().all(|k| text(k, "cancel") == Ok("all"));
+    let _ = writeln!(
+        out,
+        "fleet {{\n  nodes = {nodes}\n  cores = {cores}\n  start = {}\n  leave = {}\n  queue = {}\n  cancels = {cancels}\n}}",
+        span(page.number("/fam/boot")?),
+        span(page.number("/fam/drain")?),
+        least("queue") as u64,
+    );
+    let _ = writeln!(
+        out,
+        "traffic {{\n  rate = {rate:.3}\n  retries = {}\n  retry_wait = {}\n  patience = {:.4}\n  near = {}\n  far = {}\n}}",
+        page.number("/clients/retries")? as u64,
+        span(page.number("/clients/backoff_us")?),
+        page.number("/clients/try_share")?.clamp(0.05, 1.0),
+        span(page.number("/net/same")?),
+        span(page.number("/net/cross")?),
+    );
+    let votes = page.list("/fam/votes")?.clone();
+    let of = |i: usize| (votes[i].as_f64().unwrap_or(0.5) * marshals as f64).ceil().max(1.0) as usize;
+    let figures = |path: &str| -> Result<String, String> {
+        Ok(page.list(path)?.iter().map(ToString::to_string).collect::<Vec<_>>().join(", "))
+    };
+    let flag = |path: &str| -> Result<bool, String> { Ok(page.at(path)?.as_bool().unwrap_or(false)) };
+    let _ = writeln!(
+        out,
+        "release {{\n  shares = [{}]\n  caps = [{}]\n  on_votes = {}\n  back_votes = {}\n  window = {}\n  free = {}\n  \
+         by_method = {}\n  guarded_stages = {}\n  one_way = {}\n  in_place = {}\n  bake = {}\n  vote_life = {}\n  \
+         vote_wait = {}\n  vote_rate = {}\n  flag_share = {}\n}}",
+        figures("/fam/stages")?,
+        figures("/fam/caps")?,
+        of(0).min(marshals),
+        of(2).min(marshals),
+        span(page.number("/fam/window")?),
+        page.number("/fam/free")?,
+        flag("/fam/by_class")?,
+        page.number("/fam/guarded")? as u64,
+        flag("/fam/one_way")?,
+        !flag("/fam/beside")?,
+        span(page.number("/fam/bake")?),
+        span(page.number("/fam/vote_life")?),
+        span(page.number("/fam/call_timeout")?),
+        page.number("/fam/calls_per_s")?,
+        page.number("/fam/flag_share")?,
+    );
+    let _ = writeln!(
+        out,
+        "rules {{\n  drain_grace = {}\n  cold_from = {:.4}\n  warm_within = {}\n  fall_multiple = {}\n  fall_window = {}\n}}",
+        span(page.number("/drain_grace")?),
+        least("cold_from"),
+        span(most("cold")),
+        page.number("/fall_multiple")?,
+        span(page.number("/fall_for")?),
+    );
+    releases(&mut out, &mut page, &classes)?;
+    troubles(&mut out, &mut page, &servers, &zones, &classes)?;
+    if page.number("/clients/impatient")? > 0.0 {
+        let much = page.number("/clients/impatient")?;
+        let _ = writeln!(
+            out,
+            "trouble \"impatient\" {{\n  kind = \"give-up\"\n  at = \"0s\"\n  lasts = {}\n  much = {much}\n}}",
+            span(length)
+        );
+    }
+    page.lose("the shape of the traffic over the day and between zones and marshals: it is even here");
+    page.lose("tenants, tallies, probes and the cost of connections");
+    page.lose("nodes' slots and thrashing: a core works one RPC at a time here");
+    page.lose("the list's own capacity and its notice of dead nodes: both come as late as new nodes do");
+    Ok(Carried { script: out, lost: page.lost, scale })
+}
+
+fn method(out: &mut String, page: &mut Page, class: &Value, shares: f64) -> Result<(), String> {
+    let name = text(class, "name")?;
+    let repeat = match text(class, "effect")? {
+        "safe" => "repeat = \"idempotent\"".to_owned(),
+        "unsafe" => "repeat = \"non-idempotent\"".to_owned(),
+        _ => {
+            let (group, window) = (text(class, "group")?, span(number(class, "window")?));
+            format!("repeat = \"tokened\"\n  group = {group:?}\n  window = {window}")
+        }
+    };
+    let _ = writeln!(
+        out,
+        "method {name:?} {{\n  {repeat}\n  soft_deadline = {}\n  deadline = {}\n  utility = {}\n  late_utility = {}\n}}",
+        span(number(class, "aim")?),
+        span(number(class, "deadline")?),
+        number(class, "worth")?,
+        number(class, "late_worth")?,
+    );
+    // An even spread has a variation of its width over the root of 3.
+    let spread = (number(class, "cv")? * 3f64.sqrt()).min(0.95);
+    if spread >= 0.95 {
+        page.lose(format!("{name}: the long tail of its work"));
+    }
+    let _ = writeln!(
+        out,
+        "work {name:?} {{\n  share = {:.4}\n  mean = {}\n  spread = {spread:.3}\n}}",
+        number(class, "share")? / shares,
+        span(number(class, "work")?),
+    );
+    Ok(())
+}
+
+fn releases(out: &mut String, page: &mut Page, classes: &[Value]) -> Result<(), String> {
+    for (i, release) in page.list("/fam/releases")?.clone().iter().enumerate() {
+        let strength = number(release, "strength")?;
+        // Ranges as the operators' briefs give them, from the mildest on.
+        let between = |from: f64, to: f64| from + strength * (to - from);
+        let (fault, much) = match text(release, "bad")? {
+            "" => ("none", 0.0),
+            "errors" => ("errors", between(0.04, 0.36)),
+            "slow" => ("slow", between(1.7, 3.7)),
+            "class" => ("one-method", between(0.25, 0.9)),
+            "load" => ("under-load", between(0.3, 0.6)),
+            "late" => ("late", between(0.1, 0.5)),
+            "wrong" => ("wrong", between(0.04, 0.36)),
+            "shared" => ("shared", between(0.7, 2.0)),
+            other => {
+                page.lose(format!("a build that is bad by {other:?}: it is good here"));
+                ("none", 0.0)
+            }
+        };
+        let _ = writeln!(
+            out,
+            "build \"{}\" {{\n  at = {}\n  fault = {fault:?}",
+            i + 2,
+            span(number(release, "at")?)
+        );
+        if fault != "none" {
+            let _ = writeln!(out, "  much = {much:.4}");
+        }
+        if fault == "one-method" {
+            let class = &classes[(number(release, "class")? as usize).min(classes.len() - 1)];
+            let _ = writeln!(out, "  method = {:?}", text(class, "name")?);
+        }
+        let _ = writeln!(out, "}}");
+    }
+    Ok(())
+}
+
+fn troubles(
+    out: &mut String, page: &mut Page, servers: &[Value], zones: &[String], classes: &[Value],
+) -> Result<(), String> {
+    for (i, trouble) in page.list("/troubles")?.clone().iter().enumerate() {
+        let (kind, size, extra) =
+            (text(trouble, "kind")?, number(trouble, "size")?, number(trouble, "extra")?);
+        let struck: Vec<usize> = trouble
+            .get("on")
+            .and_then(Value::as_array)
+            .map(|on| {
+                on.iter()
+                    .filter_map(Value::as_u64)
+                    .map(|n| n as usize)
+                    .filter(|n| *n < servers.len())
+                    .collect()
+            })
+            .unwrap_or_default();
+        let part = struck.len() as f64 / servers.len() as f64;
+        let how = text(trouble, "how").unwrap_or("");
+        let mut more = String::new();
+        let (ours, much) = match kind {
+            "bad_build" => continue,
+            "crash" => ("crash", part),
+            "hang" => ("hang", part),
+            "fast_errors" => ("fast-errors", size),
+            "neighbour" => {
+                page.lose("a neighbour that comes and goes by seconds: here it stays");
+                ("neighbour", 1.0 / (1.0 - size.min(0.95)))
+            }
+            "report_late" => ("late-reports", size),
+            "control_down" if how == "stale" => ("late-reports", size),
+            "control_down" => ("desk-down", 0.0),
+            "burst" => {
+                page.lose("the rise and fall of a burst: here it is sudden");
+                ("burst", size)
+            }
+            "heavy_tail" => {
+                let class = &classes[(number(trouble, "which")? as usize).min(classes.len() - 1)];
+                let _ = write!(more, "  times = {size:.3}\n  method = {:?}\n", text(class, "name")?);
+                ("heavy-tail", extra)
+            }
+            "shared_slow" => ("shared-slow", size),
+            "give_up" => ("give-up", size.min(1.0)),
+            "zone_loss" => {
+                if size > 0.5 {
+                    page.lose("a lost zone takes its marshals with it: here they live");
+                }
+                let zone =
+                    struck.first().and_then(|&n| number(&servers[n], "zone").ok()).unwrap_or(0.0) as usize;
+                let _ = writeln!(more, "  zone = {:?}", zones[zone.min(zones.len() - 1)]);
+                ("lost-zone", 0.0)
+            }
+            other => {
+                page.lose(format!("the trouble {other:?}"));
+                continue;
+            }
+        };
+        let _ = writeln!(
+            out,
+            "trouble \"{kind}-{i}\" {{\n  kind = {ours:?}\n  at = {}\n  lasts = {}\n  much = {much:.4}\n  nodes = {part:.4}\n{more}}}",
+            span(number(trouble, "at")?),
+            span(number(trouble, "len")?),
+        );
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The shape of a bench day, with figures of our own.
+    fn sample() -> Value {
+        serde_json::json!({
+            "family": "rollout", "noise": 7, "length": 20_000_000, "zones": ["x", "y"],
+            "net": { "same": 200.0, "cross": 900.0 },
+            "traffic": { "load": 0.5 },
+            "clients": { "retries": 1, "try_share": 0.5, "backoff_us": 1000.0, "impatient": 0.01 },
+            "discovery": { "add": 500_000 },
+            "allow": { "peers": true },
+            "drain_grace": 1_000_000, "fall_multiple": 3.0, "fall_for": 1_000_000,
+            "classes": [
+                { "name": "a", "share": 1.0, "work": 50_000.0, "cv": 0.5, "aim": 800_000, "deadline": 2_000_000,
+                  "worth": 1.0, "late_worth": 0.1, "effect": "safe", "group": "all", "window": 1 },
+                { "name": "b", "share": 1.0, "work": 50_000.0, "cv": 2.0, "aim": 800_000, "deadline": 2_000_000,
+                  "worth": 1.0, "late_worth": 0.1, "effect": "keyed", "group": "all", "window": 4_000_000 }
+            ],
+            "tiers": [{ "kinds": [{ "name": "k", "cores": 2, "queue": 20, "cold_from": 0.5, "cold": 4_000_000,
+                                    "cancel": "all" }] }],
+            "servers": (0..10).map(|i| serde_json::json!({ "zone": i % 2, "kind": 0, "speed": 1.0 })).collect::<Vec<_>>(),
+            "balancers": [{}, {}, {}],
+            "troubles": [
+                { "kind": "crash", "at": 5_000_000, "len": 3_000_000, "size": 0.0, "extra": 0.0, "on": [0, 9, 33], "which": 0 },
+                { "kind": "sandstorm", "at": 5_000_000, "len": 3_000_000, "size": 0.0, "extra": 0.0, "on": [], "which": 0 }
+            ],
+            "fam": {
+                "places": 8, "boot": 1_000_000, "drain": 1_000_000, "told_late": 300_000, "votes": [0.5, 0.2, 0.35],
+                "stages": [0.1, 1.0], "caps": [0.2, 1.0], "window": 2_000_000, "free": 2.0, "by_class": false,
+                "guarded": 0, "one_way": false, "beside": true, "bake": 1_000_000, "vote_life": 4_000_000,
+                "call_timeout": 800_000, "calls_per_s": 10.0, "flag_share": 0.1,
+                "releases": [{ "at": 3_000_000, "bad": "errors", "class": 0, "speed": 1.0, "strength": 0.5 }]
+            }
+        })
+    }
+
+    #[test]
+    fn a_bench_day_becomes_a_script_that_plays_and_what_is_lost_is_said() {
+        let carried = read(&sample().to_string()).unwrap();
+        let day = crate::day::read("bench", &carried.script).unwrap();
+        // Half of 8 nodes with 2 cores over 50 ms an RPC.
+        assert!((day.traffic.rate - 160.0).abs() < 1.0, "{}", day.traffic.rate);
+        assert_eq!(
+            (day.marshals, day.fleet.nodes, day.release.on_votes, day.release.back_votes),
+            (3, 8, 2, 2)
+        );
+        assert!((day.troubles[0].much - 0.125).abs() < 1e-6, "one of eight places crashes");
+        assert!((day.offers[0].much - 0.2).abs() < 1e-6);
+        assert!(carried.lost.iter().any(|l| l.contains("sandstorm")), "{:?}", carried.lost);
+        assert!(crate::sim::run(day, false).unwrap().report.kept());
+    }
+
+    #[test]
+    fn what_is_no_bench_day_is_refused_by_the_missing_part() {
+        assert!(read("{").err().unwrap().contains("not JSON"));
+        let mut other = sample();
+        other["family"] = "cache".into();
+        assert!(read(&other.to_string()).err().unwrap().contains("family"));
+        let mut without = sample();
+        without["fam"].as_object_mut().unwrap().remove("places");
+        assert!(read(&without.to_string()).err().unwrap().contains("/fam/places"));
+    }
+}
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -16,7 +16,7 @@
 pub enum Kind {
     /// Traffic times `much`.
     Burst,
-    /// A part `much` of one method's RPCs costs ten times the usual work.
+    /// A part `much` of one method's RPCs costs `times` the usual work.
     HeavyTail,
     /// A part `much` of the nodes dies and comes back cold at the end.
     Crash,
@@ -91,6 +91,8 @@
     pub much: f64,
     /// The part of the nodes concerned, where the kind has nodes of its own.
     pub nodes: f64,
+    /// How often the usual work a heavy RPC costs.
+    pub times: f64,
     pub zone: Option<usize>,
     pub method: Option<usize>,
 }
@@ -309,6 +311,7 @@
         lasts: s.span("lasts", None),
         much: s.number("much", Some(0.0), 0.0..=1000.0),
         nodes: s.number("nodes", Some(0.2), 0.0..=1.0),
+        times: s.number("times", Some(10.0), 1.0..=1000.0),
         zone: named(s, "zone", &zones),
         method: named(s, "method", &names),
     });
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,7 +2,9 @@
 //! [`town::Town`] holds what they do, without I/O; [`sockets`] puts it on loopback sockets, [`sim`] into a
 //! simulated network with virtual time. Both write the same trace.
 #![forbid(unsafe_code)]
+#![cfg_attr(test, recursion_limit = "256")]
 
+pub mod bench;
 pub mod day;
 mod desk;
 mod node;
--- a/crates/standin/src/town.rs
+++ b/crates/standin/src/town.rs
@@ -556,8 +556,8 @@
         let slow_method = self.active(Kind::SlowMethod).find(|t| t.1.method == Some(rpc.method));
         slower *= slow_method.map_or(1.0, |t| t.1.much);
         let heavy = self.active(Kind::HeavyTail).find(|t| t.1.method.is_none_or(|m| m == rpc.method));
-        if heavy.map(|t| t.1.much).is_some_and(|p| self.rng.random_bool(p.min(1.0))) {
-            slower *= 10.0;
+        if let Some((much, times)) = heavy.map(|t| (t.1.much, t.1.times)) {
+            slower *= if self.rng.random_bool(much.min(1.0)) { times } else { 1.0 };
         }
         let offer = self.day.offers.iter().find(|o| o.build == build).cloned();
         let mut fails = 0.0;
