--- a/crates/standin/tests/days.rs
+++ b/crates/standin/tests/days.rs
@@ -30,6 +30,7 @@
         lasts,
         much,
         nodes: 0.2,
+        times: 10.0,
         zone: Some(0),
         method: Some(0),
     }
