--- /dev/null
+++ b/crates/marshal/benches/per_rpc.rs
@@ -0,0 +1,59 @@
+//! What the core with the module costs for one RPC: taken, sent, answered. `cargo bench -p ivydrift-marshal`.
+
+use std::time::Duration;
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use ivydrift_marshal::{Call, Core, Input, Order, Saw};
+use ivydrift_wire::desk::{Course, News, Stage};
+use ivydrift_wire::list::{Listed, State};
+use ivydrift_wire::orca::Metrics;
+
+fn core(nodes: u16) -> Core {
+    let terms = ivydrift_terms::read("example.hcl", ivydrift_terms::EXAMPLE).expect("the example is right");
+    let mut core = Core::new(terms, 0);
+    let node = |i| Listed {
+        host: "127.0.0.1".into(),
+        port: 10_000 + i,
+        state: State::Ready,
+        build: 1,
+        zone: "site-a".into(),
+        cell: 0,
+        kind: "full-1c".into(),
+        power: 1.0,
+        started_ms: None,
+    };
+    let now = Duration::from_secs(86_400);
+    core.handle(now, Input::List(&(0..nodes).map(node).collect::<Vec<_>>()));
+    let stage = Stage { build: 1, stage: 2, course: Course::Released, cap: 1.0, age_ms: 90_000 };
+    core.handle(now, Input::News(&News { index: 1, stage: Some(stage), sums: vec![], disputed: vec![] }));
+    core
+}
+
+fn per_rpc(c: &mut Criterion) {
+    let mut group = c.benchmark_group("core and module");
+    for nodes in [14, 60, 300] {
+        group.bench_with_input(BenchmarkId::from_parameter(nodes), &nodes, |b, &nodes| {
+            let (mut core, mut now, mut id) = (core(nodes), Duration::from_secs(86_400), 0);
+            let saw = Saw::Answer { status: 200, never_ran: false, load: Metrics::default() };
+            b.iter(|| {
+                // 5000 RPCs a second, each answered after 2 ms; the clock ticks when it is due.
+                now += Duration::from_micros(200);
+                if core.due() <= now {
+                    core.handle(now, Input::Tick);
+                }
+                id += 1;
+                let (method, left) = ("calendar-read", Some(Duration::from_secs(1)));
+                let call = Call { method, tenant: None, key: None, tokened: false, left, repeated: false };
+                for order in core.handle(now, Input::Rpc { id, call }) {
+                    if let Order::Pick { id, pick, .. } = order {
+                        core.handle(now + Duration::from_millis(2), Input::Ended { id, pick, saw });
+                    }
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, per_rpc);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/measure/src/compare.rs
@@ -0,0 +1,169 @@
+//! Runs the subjects in turns and prints what came out, as ratios.
+
+use std::io::{self, BufRead, BufReader};
+use std::process::{Child, Command, Stdio};
+
+use serde_json::{json, Value};
+
+pub struct Plan {
+    pub nodes: usize,
+    pub connections: usize,
+    pub seconds: f64,
+    pub rounds: usize,
+    pub json: bool,
+}
+
+/// A part of the measurement as a process, ended when it is dropped.
+struct Part(Child);
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Starts a part and hears where it listens.
+fn part(args: &[String]) -> io::Result<(Part, Vec<String>)> {
+    let child = Command::new(std::env::current_exe()?).args(args).stdout(Stdio::piped()).spawn()?;
+    let mut part = Part(child);
+    let out = part.0.stdout.take().ok_or_else(|| io::Error::other("no output"))?;
+    let mut line = String::new();
+    BufReader::new(out).read_line(&mut line)?;
+    let addrs: Vec<String> = line.split_whitespace().map(str::to_owned).collect();
+    if addrs.is_empty() {
+        return Err(io::Error::other(format!("{} did not start", args[0])));
+    }
+    Ok((part, addrs))
+}
+
+fn load(to: &[String], plan: &Plan, rate: Option<f64>) -> io::Result<Value> {
+    let mut command = Command::new(std::env::current_exe()?);
+    command.arg("load").args(["--connections", &plan.connections.to_string()]);
+    command.args(["--seconds", &plan.seconds.to_string()]);
+    if let Some(rate) = rate {
+        command.args(["--rate", &rate.to_string()]);
+    }
+    let out = command.args(to).output()?;
+    serde_json::from_slice(&out.stdout).map_err(io::Error::other)
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
+}
+
+const SUBJECTS: [&str; 4] = ["direct", "relay", "hyper", "edge"];
+
+pub fn compare(plan: &Plan) -> io::Result<()> {
+    let (_nodes, addrs) = part(&["node".into(), "--ports".into(), plan.nodes.to_string()])?;
+    let (town, nodes) = (addrs[0].clone(), addrs[1..].to_vec());
+    let start = |name: &str| -> io::Result<(Option<Part>, Vec<String>)> {
+        if name == "direct" {
+            return Ok((None, nodes.clone()));
+        }
+        let towards = if name == "edge" { vec![town.clone()] } else { nodes.clone() };
+        let (part, at) = part(&[vec![name.to_owned()], towards].concat())?;
+        Ok((Some(part), at))
+    };
+    let mut rates = vec![Vec::new(); SUBJECTS.len()];
+    let mut bad = vec![0.0; SUBJECTS.len()];
+    for _ in 0..plan.rounds {
+        for (i, name) in SUBJECTS.iter().enumerate() {
+            let (_part, to) = start(name)?;
+            let got = load(&to, plan, None)?;
+            rates[i].push(got["per_s"].as_f64().unwrap_or(0.0));
+            bad[i] += got["bad"].as_f64().unwrap_or(0.0);
+        }
+    }
+    let rates: Vec<f64> = rates.into_iter().map(median).collect();
+    let half = rates[3] / 2.0;
+    let mut lags = vec![[const { Vec::new() }; 3]; SUBJECTS.len()];
+    for _ in 0..plan.rounds {
+        for (i, name) in SUBJECTS.iter().enumerate() {
+            let (_part, to) = start(name)?;
+            let got = load(&to, plan, Some(half))?;
+            for (lag, key) in lags[i].iter_mut().zip(["p50_us", "p99_us", "p999_us"]) {
+                lag.push(got[key].as_f64().unwrap_or(f64::NAN));
+            }
+        }
+    }
+    let lags: Vec<[f64; 3]> = lags.into_iter().map(|l| l.map(median)).collect();
+    if plan.json {
+        let one = |i: usize| json!({ "subject": SUBJECTS[i], "per_s": rates[i], "bad": bad[i], "at_half_us": lags[i] });
+        let all: Vec<Value> = (0..SUBJECTS.len()).map(one).collect();
+        println!("{}", json!({ "nodes": plan.nodes, "half_load_per_s": half, "subjects": all }));
+        return Ok(());
+    }
+    println!(
+        "{} nodes, {} connections, medians of {} rounds of {} s; latencies open loop at {half:.0} RPCs a second\n",
+        plan.nodes, plan.connections, plan.rounds, plan.seconds
+    );
+    println!(
+        "{:>7} {:>10} {:>9} {:>10} {:>6} {:>10} {:>10} {:>10}",
+        "subject", "RPCs/s", "of direct", "of relay", "bad", "p50 us", "p99 us", "p99.9 us"
+    );
+    for (i, name) in SUBJECTS.iter().enumerate() {
+        println!(
+            "{name:>7} {:>10.0} {:>9.2} {:>10.2} {:>6} {:>10.0} {:>10.0} {:>10.0}",
+            rates[i],
+            rates[i] / rates[0],
+            rates[i] / rates[1],
+            bad[i],
+            lags[i][0],
+            lags[i][1],
+            lags[i][2]
+        );
+    }
+    let added = |q: usize| lags[3][q] - lags[0][q];
+    println!(
+        "\nthe edge adds {:.0} us at p50, {:.0} us at p99, {:.0} us at p99.9; it does {:.2} of the relay, {:.2} of hyper",
+        added(0),
+        added(1),
+        added(2),
+        rates[3] / rates[1],
+        rates[3] / rates[2]
+    );
+    Ok(())
+}
+
+/// Resident memory of a process, in KiB.
+fn resident(process: &Part) -> io::Result<f64> {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", process.0.id()))?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|l| l.trim().trim_end_matches(" kB").trim().parse().ok());
+    kib.ok_or_else(|| io::Error::other("no VmRSS"))
+}
+
+pub fn idle(connections: usize) -> io::Result<()> {
+    let (_nodes, addrs) = part(&["node".into(), "--ports".into(), "16".into()])?;
+    let (edge, at) = part(&["edge".into(), addrs[0].clone()])?;
+    // The runtime and the pool to nodes have their size before the first reading.
+    let plan = |connections| Plan { nodes: 16, connections, seconds: 2.0, rounds: 1, json: false };
+    load(&at, &plan(64), None)?;
+    let before = resident(&edge)?;
+    let mut held = Vec::new();
+    for _ in 0..connections {
+        held.push(std::net::TcpStream::connect(&at[0])?);
+    }
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    let fresh = resident(&edge)?;
+    for stream in &mut held {
+        use std::io::{Read, Write};
+        stream.write_all(b"POST /calendar-read HTTP/1.1\r\nHost: m\r\nContent-Length: 1\r\n\r\nx")?;
+        let mut part = [0; 1024];
+        let mut sum = stream.read(&mut part)?;
+        while !part[..sum].ends_with(&[b'x'; 100]) {
+            sum += stream.read(&mut part[sum..])?;
+        }
+    }
+    let used = resident(&edge)?;
+    let each = |now: f64| (now - before) / connections as f64;
+    println!(
+        "{connections} connections: {:.1} KiB each when never used, {:.1} KiB each when idle after an RPC (before: {before} KiB)",
+        each(fresh),
+        each(used)
+    );
+    drop(held);
+    Ok(())
+}
--- /dev/null
+++ b/crates/measure/src/load.rs
@@ -0,0 +1,97 @@
+//! Load from one process: closed loop for throughput; open loop for latency, counted from when each RPC was due,
+//! so that a stall shows in all that it held up.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use ivydrift_sockets::coroutine::{go, pause, prepare};
+use ivydrift_sockets::Socket;
+use ivydrift_wire::http::{self, Framing};
+
+const RPC: &[u8] = b"POST /calendar-read HTTP/1.1\r\nHost: m\r\nContent-Length: 16\r\n\r\n0123456789abcdef";
+
+fn call(socket: &Socket, buf: &mut Vec<u8>) -> Option<u16> {
+    let by = Instant::now() + Duration::from_secs(5);
+    socket.write(RPC, by).ok()?;
+    let mut part = [0; 4096];
+    buf.clear();
+    loop {
+        if let Some((head, used)) = http::response(buf, false).ok()? {
+            let Framing::Length(length) = head.framing else { return None };
+            if buf.len() >= used + length as usize {
+                return Some(head.status);
+            }
+        }
+        let n = socket.read(&mut part, Some(by)).ok().filter(|n| *n > 0)?;
+        buf.extend_from_slice(&part[..n]);
+    }
+}
+
+pub fn run(to: &[SocketAddr], connections: usize, seconds: f64, rate: Option<f64>) -> io::Result<()> {
+    prepare(1);
+    let times = Arc::new(Mutex::new(
+        Histogram::<u64>::new_with_bounds(1, 60_000_000_000, 3).map_err(io::Error::other)?,
+    ));
+    let (ok, bad, done) =
+        (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)), Arc::new(AtomicUsize::new(0)));
+    // Connections stand, and have been used, before the clock starts.
+    let begin = Instant::now() + Duration::from_millis(700);
+    let end = begin + Duration::from_secs_f64(seconds);
+    for n in 0..connections {
+        let (addr, times) = (to[n % to.len()], times.clone());
+        let (ok, bad, done) = (ok.clone(), bad.clone(), done.clone());
+        go(move || {
+            let mut own = Vec::new();
+            let mut buf = Vec::new();
+            if let Ok(socket) = Socket::connect(addr, Duration::from_secs(2)) {
+                call(&socket, &mut buf);
+                pause(begin.saturating_duration_since(Instant::now()));
+                for i in 0u64.. {
+                    let due = match rate {
+                        Some(rate) => {
+                            begin + Duration::from_secs_f64((i as f64 * connections as f64 + n as f64) / rate)
+                        }
+                        None => Instant::now(),
+                    };
+                    if due >= end {
+                        break;
+                    }
+                    let wait = due.saturating_duration_since(Instant::now());
+                    if !wait.is_zero() {
+                        pause(wait);
+                    }
+                    match call(&socket, &mut buf) {
+                        Some(200) => {
+                            ok.fetch_add(1, Ordering::Relaxed);
+                            own.push(due.elapsed().as_nanos() as u64);
+                        }
+                        Some(_) => _ = bad.fetch_add(1, Ordering::Relaxed),
+                        None => {
+                            bad.fetch_add(1, Ordering::Relaxed);
+                            break;
+                        }
+                    }
+                }
+            }
+            let mut times = times.lock().unwrap();
+            own.into_iter().for_each(|t| times.saturating_record(t));
+            done.fetch_add(1, Ordering::Release);
+        });
+    }
+    while done.load(Ordering::Acquire) < connections && Instant::now() < end + Duration::from_secs(8) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let times = times.lock().unwrap();
+    let us = |q| times.value_at_quantile(q) as f64 / 1000.0;
+    let (ok, bad) = (ok.load(Ordering::Relaxed), bad.load(Ordering::Relaxed));
+    println!(
+        "{}",
+        serde_json::json!({ "ok": ok, "bad": bad, "per_s": ok as f64 / seconds,
+                            "p50_us": us(0.5), "p99_us": us(0.99), "p999_us": us(0.999) })
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,99 @@
+//! `ivydrift-measure`: ratios within one run on one machine. Nodes, subject and load are processes of their own,
+//! each with one thread that works; subjects are measured in turns, several times.
+#![forbid(unsafe_code)]
+
+mod compare;
+mod load;
+mod node;
+mod subjects;
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Measures the edge on loopback.
+///
+/// Exit codes: 0 measured; 1 could not be measured; 2 the command is wrong.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Examples:\n  ivydrift-measure compare                 throughput and latency beside three others\n  \
+                  ivydrift-measure compare --nodes 300     the same with 300 listed nodes\n  \
+                  ivydrift-measure idle --connections 2000 memory of idle and busy connections"
+)]
+struct Measure {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Throughput (closed loop) and latency at half of it (open loop) of direct, relay, hyper and edge
+    Compare {
+        #[arg(long, default_value_t = 16)]
+        nodes: usize,
+        #[arg(long, default_value_t = 64)]
+        connections: usize,
+        /// Seconds of each measurement
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Memory of an edge with idle and with busy client connections
+    Idle {
+        #[arg(long, default_value_t = 2000)]
+        connections: usize,
+    },
+    /// A part of a measurement: answers at once on many ports, and is node list and desk
+    #[command(hide = true)]
+    Node {
+        #[arg(long)]
+        ports: usize,
+    },
+    /// A part of a measurement: forwards to nodes in turn, on may
+    #[command(hide = true)]
+    Relay { nodes: Vec<SocketAddr> },
+    /// A part of a measurement: forwards to nodes in turn, on hyper
+    #[command(hide = true)]
+    Hyper { nodes: Vec<SocketAddr> },
+    /// A part of a measurement: an edge
+    #[command(hide = true)]
+    Edge { towards: SocketAddr },
+    /// A part of a measurement: load from one process
+    #[command(hide = true)]
+    Load {
+        to: Vec<SocketAddr>,
+        #[arg(long)]
+        connections: usize,
+        #[arg(long)]
+        seconds: f64,
+        /// RPCs a second, open loop; without it closed loop
+        #[arg(long)]
+        rate: Option<f64>,
+    },
+}
+
+fn main() -> ExitCode {
+    let done = match Measure::parse().command {
+        Command::Compare { nodes, connections, seconds, rounds, json } => {
+            compare::compare(&compare::Plan { nodes, connections, seconds, rounds, json })
+        }
+        Command::Idle { connections } => compare::idle(connections),
+        Command::Node { ports } => node::run(ports),
+        Command::Relay { nodes } => subjects::relay(nodes),
+        Command::Hyper { nodes } => subjects::hyper(nodes),
+        Command::Edge { towards } => subjects::edge(towards),
+        Command::Load { to, connections, seconds, rate } => load::run(&to, connections, seconds, rate),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("ivydrift-measure: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
