A connection is read by its owner alone; others hold a second descriptor of it

Cause: waiting through peek cost two more system calls for each read that waits, and header fields were checked as text for each look-up. Change: may's own read for the owner, Look for the rest (has it left, cut it off); names of fields compared as bytes.

--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -16,21 +16,21 @@
 use crate::exchange::{Answer, Handle, Outgoing, Pick, Sink};
 use crate::Edge;
 use ivydrift_sockets::coroutine::{go, pause};
-use ivydrift_sockets::Socket;
+use ivydrift_sockets::{Look, Socket};
 
 /// A client that takes none of its answer for this long is cut off.
 const SLOW_READER: Duration = Duration::from_secs(10);
 
 /// One client connection, as the rest of the shell sees it.
 pub struct Client {
-    pub socket: Socket,
+    pub look: Look,
     /// It waits for its client to speak, and may be closed at any time.
     pub idle: AtomicBool,
     /// Orders for the RPC in hand that came out of somebody else's events.
     mail: Mutex<VecDeque<Mail>>,
     wake: Semphore,
     /// The pick in hand: its number, its connection, and whether it was severed.
-    pick: Mutex<(usize, Option<Arc<Socket>>, bool)>,
+    pick: Mutex<(usize, Option<Look>, bool)>,
     /// The client has left while its RPC was in hand.
     gone: AtomicBool,
 }
@@ -41,9 +41,9 @@
 }
 
 impl Client {
-    fn new(socket: Socket) -> Self {
+    fn new(look: Look) -> Self {
         Client {
-            socket,
+            look,
             idle: AtomicBool::new(true),
             mail: Mutex::default(),
             wake: Semphore::new(0),
@@ -58,8 +58,8 @@
             let mut hand = self.pick.lock().unwrap();
             if hand.0 == pick {
                 hand.2 = true;
-                if let Some(socket) = &hand.1 {
-                    socket.cut();
+                if let Some(look) = &hand.1 {
+                    look.cut();
                 }
             }
             return;
@@ -81,9 +81,9 @@
 }
 
 impl Handle for Client {
-    fn hold(&self, socket: &Arc<Socket>) -> bool {
+    fn hold(&self, look: Look) -> bool {
         let mut hand = self.pick.lock().unwrap();
-        hand.1 = Some(socket.clone());
+        hand.1 = Some(look);
         !hand.2
     }
 
@@ -106,18 +106,19 @@
                 continue;
             }
         };
-        let client = Arc::new(Client::new(Socket::new(stream)));
+        let Ok(socket) = Socket::new(stream) else { continue };
+        let client = Arc::new(Client::new(socket.look()));
         let name = number.fetch_add(1, Ordering::Relaxed);
         if !edge.enter(name, &client) {
             continue;
         }
         let edge = edge.clone();
         go(move || {
-            let gentle = Connection { edge: &edge, client: &client, buf: Vec::new() }.run();
-            if gentle {
-                client.socket.close_gently(Duration::from_millis(500));
+            let mut connection = Connection { edge: &edge, client: &client, socket, buf: Vec::new() };
+            if connection.run() {
+                connection.socket.close_gently(Duration::from_millis(500));
             }
-            client.socket.cut();
+            connection.socket.cut();
             edge.leave(name);
         });
     }
@@ -126,6 +127,7 @@
 struct Connection<'a> {
     edge: &'a Arc<Edge>,
     client: &'a Arc<Client>,
+    socket: Socket,
     buf: Vec<u8>,
 }
 
@@ -138,7 +140,7 @@
 
 impl Connection<'_> {
     /// Serves until the connection ends; true where our last answer may still be on its way.
-    fn run(mut self) -> bool {
+    fn run(&mut self) -> bool {
         loop {
             self.client.idle.store(true, Ordering::Release);
             if self.edge.stopping() && self.buf.is_empty() {
@@ -176,7 +178,7 @@
     /// Reads more by then; false at the end of the stream or of patience.
     fn fill(&mut self, by: Instant) -> Result<bool, ErrorKind> {
         let mut part = [0; 4096];
-        match self.client.socket.read(&mut part, Some(by)) {
+        match self.socket.read(&mut part, Some(by)) {
             Ok(0) => Ok(false),
             Ok(n) => {
                 self.buf.extend_from_slice(&part[..n]);
@@ -227,7 +229,7 @@
         let (mut walk, mut body) = (Walk::new(request.framing), Vec::new());
         if request.expects_continue && !walk.ended() && self.buf.is_empty() {
             let by = Instant::now() + SLOW_READER;
-            if self.client.socket.write(b"HTTP/1.1 100 Continue\r\n\r\n", by).is_err() {
+            if self.socket.write(b"HTTP/1.1 100 Continue\r\n\r\n", by).is_err() {
                 return Err(Unread::Over);
             }
         }
@@ -262,7 +264,7 @@
             .field("connection", "close")
             .finish();
         let bytes = [&head[..], refusal.why.as_bytes(), b"\n"].concat();
-        self.client.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok()
+        self.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok()
     }
 
     /// Takes one RPC to its final answer; false where the connection must end.
@@ -271,7 +273,7 @@
         // Mail for an earlier RPC of this connection is void.
         client.mail.lock().unwrap().clear();
         // After a stall, what waited in the socket may be from clients that have long left.
-        if edge.stalled() && client.socket.left() {
+        if edge.stalled() && self.socket.left() {
             return false;
         }
         let id = edge.next_id();
@@ -306,8 +308,9 @@
                     }
                     *client.pick.lock().unwrap() = (pick, None, false);
                     let run = Pick { node, within, careful, connect: edge.bounds.connect, pool: &edge.pool };
+                    let socket = &self.socket;
                     let mut passage =
-                        Passage { edge, client, id, pick, keep, orders: vec![], passing: false };
+                        Passage { edge, socket, id, pick, keep, orders: vec![], passing: false };
                     let (mut saw, answer) = run.run(&outgoing, &**client, &mut passage);
                     if matches!(saw, Saw::Severed) && passage.passing {
                         edge.tell(Input::ClientLeft { id }, id);
@@ -329,7 +332,7 @@
                     let Some((_, answer)) = held.take().filter(|h| h.0 == pick) else { break false };
                     let mut bytes = answer.head_bytes(picks, build, !keep);
                     bytes.extend_from_slice(&answer.body);
-                    break client.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok();
+                    break self.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok();
                 }
                 Order::PushBack { picks, retry_after, why, .. } => {
                     let wait = retry_after.unwrap_or_default();
@@ -365,7 +368,7 @@
             head = head.field("connection", "close");
         }
         let bytes = [&head.finish()[..], text.as_bytes()].concat();
-        self.client.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok()
+        self.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok()
     }
 }
 
@@ -380,7 +383,7 @@
 /// Hands a long answer to the client as it comes.
 struct Passage<'a> {
     edge: &'a Arc<Edge>,
-    client: &'a Arc<Client>,
+    socket: &'a Socket,
     id: Id,
     pick: usize,
     keep: bool,
@@ -402,6 +405,6 @@
     }
 
     fn part(&mut self, bytes: &[u8]) -> bool {
-        self.client.socket.write(bytes, Instant::now() + SLOW_READER).is_ok()
+        self.socket.write(bytes, Instant::now() + SLOW_READER).is_ok()
     }
 }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -2,7 +2,6 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ivydrift_marshal::Saw;
@@ -11,7 +10,7 @@
 use ivydrift_wire::{orca, rpc};
 
 use crate::pool::Pool;
-use ivydrift_sockets::Socket;
+use ivydrift_sockets::{Look, Socket};
 
 /// An answer up to this long is held until it is whole, so that one that breaks off can still be replaced.
 pub const HELD: usize = 16 * 1024;
@@ -87,7 +86,7 @@
 /// Names the connection of a pick while it is in use, so that it can be cut off from elsewhere.
 pub trait Handle {
     /// False where the pick was severed meanwhile.
-    fn hold(&self, socket: &Arc<Socket>) -> bool;
+    fn hold(&self, look: Look) -> bool;
     fn severed(&self) -> bool;
 }
 
@@ -103,10 +102,10 @@
     /// Sends the RPC and reads its answer. The answer is there whenever [`Saw::Answer`] is.
     pub fn run(&self, rpc: &Outgoing, handle: &dyn Handle, sink: &mut dyn Sink) -> (Saw, Option<Answer>) {
         let by = Instant::now() + self.within;
-        let socket = match self.pool.take(self.node, self.careful) {
+        let mut socket = match self.pool.take(self.node, self.careful) {
             Some(socket) => socket,
             None => match Socket::connect(self.node, self.within.min(self.connect)) {
-                Ok(socket) => Arc::new(socket),
+                Ok(socket) => socket,
                 Err(e) => {
                     // EMFILE, ENFILE: idle connections make room for the next.
                     if matches!(e.raw_os_error(), Some(23 | 24)) {
@@ -116,7 +115,7 @@
                 }
             },
         };
-        if !handle.hold(&socket) {
+        if !handle.hold(socket.look()) {
             return (Saw::NotSent, None);
         }
         let left = by.saturating_duration_since(Instant::now());
@@ -132,22 +131,23 @@
             };
             return (saw, None);
         }
-        let mut reader = Reader { socket: &socket, buf: Vec::new(), by };
+        let mut reader = Reader { socket: &mut socket, buf: Vec::new(), by };
         let (saw, answer) = reader.answer(&rpc.verb, sink);
         let whole = matches!(saw, Saw::Answer { .. });
         if handle.severed() && !whole {
             return (Saw::Severed, None);
         }
         // Bytes beyond the answer are no answer to anything: the node answers twice, or cannot count.
-        if whole && reader.buf.is_empty() && answer.as_ref().is_some_and(|a| a.head.keep_alive) {
-            self.pool.put(self.node, socket.clone());
+        let rest = reader.buf;
+        if whole && rest.is_empty() && answer.as_ref().is_some_and(|a| a.head.keep_alive) {
+            self.pool.put(self.node, socket);
         }
         (saw, answer)
     }
 }
 
 struct Reader<'a> {
-    socket: &'a Socket,
+    socket: &'a mut Socket,
     buf: Vec<u8>,
     by: Instant,
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -159,7 +159,7 @@
         let inhand: Vec<(Id, Arc<Client>)> =
             self.inhand.lock().unwrap().iter().map(|(id, c)| (*id, c.clone())).collect();
         for (id, client) in inhand {
-            if client.socket.left() {
+            if client.look.left() {
                 self.tell(Input::ClientLeft { id }, 0);
                 client.leave();
             }
@@ -169,7 +169,7 @@
     fn close_idle_clients(&self) {
         for client in self.clients.lock().unwrap().values() {
             if client.idle.load(Ordering::Acquire) {
-                client.socket.cut();
+                client.look.cut();
             }
         }
     }
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -42,7 +42,7 @@
     ) -> io::Result<(Option<u64>, Vec<u8>)> {
         let by = Instant::now() + within;
         let fresh = || Socket::connect(self.to, within.min(Duration::from_secs(1)));
-        let socket = match self.socket.take().filter(Socket::quiet) {
+        let mut socket = match self.socket.take().filter(Socket::quiet) {
             Some(socket) => socket,
             None => fresh()?,
         };
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use ivydrift_sockets::Socket;
@@ -12,7 +12,7 @@
 const FRESH: Duration = Duration::from_secs(1);
 
 /// Idle connections to one node, each with the time when it came to rest, the latest last.
-type Stack = Vec<(Instant, Arc<Socket>)>;
+type Stack = Vec<(Instant, Socket)>;
 
 pub struct Pool {
     most: usize,
@@ -27,7 +27,7 @@
     }
 
     /// A connection that looks alive, the latest used first.
-    pub fn take(&self, node: SocketAddr, careful: bool) -> Option<Arc<Socket>> {
+    pub fn take(&self, node: SocketAddr, careful: bool) -> Option<Socket> {
         loop {
             let (at, socket) = self.idle.lock().unwrap().get_mut(&node)?.pop()?;
             let rested = at.elapsed();
@@ -41,11 +41,11 @@
         }
     }
 
-    fn put_back(&self, node: SocketAddr, at: Instant, socket: Arc<Socket>) {
+    fn put_back(&self, node: SocketAddr, at: Instant, socket: Socket) {
         self.idle.lock().unwrap().entry(node).or_default().push((at, socket));
     }
 
-    pub fn put(&self, node: SocketAddr, socket: Arc<Socket>) {
+    pub fn put(&self, node: SocketAddr, socket: Socket) {
         let mut idle = self.idle.lock().unwrap();
         let stack = idle.entry(node).or_default();
         if stack.len() < self.most {
--- a/crates/measure/src/load.rs
+++ b/crates/measure/src/load.rs
@@ -14,7 +14,7 @@
 
 const RPC: &[u8] = b"POST /calendar-read HTTP/1.1\r\nHost: m\r\nContent-Length: 16\r\n\r\n0123456789abcdef";
 
-fn call(socket: &Socket, buf: &mut Vec<u8>) -> Option<u16> {
+fn call(socket: &mut Socket, buf: &mut Vec<u8>) -> Option<u16> {
     let by = Instant::now() + Duration::from_secs(5);
     socket.write(RPC, by).ok()?;
     let mut part = [0; 4096];
@@ -47,8 +47,8 @@
         go(move || {
             let mut own = Vec::new();
             let mut buf = Vec::new();
-            if let Ok(socket) = Socket::connect(addr, Duration::from_secs(2)) {
-                call(&socket, &mut buf);
+            if let Ok(mut socket) = Socket::connect(addr, Duration::from_secs(2)) {
+                call(&mut socket, &mut buf);
                 pause(begin.saturating_duration_since(Instant::now()));
                 for i in 0u64.. {
                     let due = match rate {
@@ -64,7 +64,7 @@
                     if !wait.is_zero() {
                         pause(wait);
                     }
-                    match call(&socket, &mut buf) {
+                    match call(&mut socket, &mut buf) {
                         Some(200) => {
                             ok.fetch_add(1, Ordering::Relaxed);
                             own.push(due.elapsed().as_nanos() as u64);
--- a/crates/measure/src/node.rs
+++ b/crates/measure/src/node.rs
@@ -12,7 +12,7 @@
 use may::net::TcpListener;
 
 /// Reads one message with its body, as far as this tool's own peers send them; none at the end.
-pub fn message(socket: &Socket, buf: &mut Vec<u8>) -> Option<(http::Request, Vec<u8>)> {
+pub fn message(socket: &mut Socket, buf: &mut Vec<u8>) -> Option<(http::Request, Vec<u8>)> {
     let mut part = [0; 4096];
     loop {
         if let Some((request, used)) = http::request(buf).ok()? {
@@ -30,13 +30,15 @@
 }
 
 /// Serves each connection in a coroutine of its own.
-pub fn listen(answer: impl Fn(&Socket) + Send + Sync + Clone + 'static) -> io::Result<SocketAddr> {
+pub fn listen(answer: impl Fn(&mut Socket) + Send + Sync + Clone + 'static) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let addr = listener.local_addr()?;
     go(move || {
         while let Ok((stream, _)) = listener.accept() {
             let answer = answer.clone();
-            go(move || answer(&Socket::new(stream)));
+            if let Ok(mut socket) = Socket::new(stream) {
+                go(move || answer(&mut socket));
+            }
         }
     });
     Ok(addr)
--- a/crates/measure/src/subjects.rs
+++ b/crates/measure/src/subjects.rs
@@ -46,7 +46,7 @@
         while let Some((request, body)) = message(client, &mut buf) {
             let at = turn.fetch_add(1, Ordering::Relaxed) % nodes.len();
             let pooled = idle.lock().unwrap()[at].pop();
-            let Some(node) = pooled.or_else(|| Socket::connect(nodes[at], Duration::from_secs(1)).ok())
+            let Some(mut node) = pooled.or_else(|| Socket::connect(nodes[at], Duration::from_secs(1)).ok())
             else {
                 return;
             };
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -4,4 +4,4 @@
 pub mod coroutine;
 mod socket;
 
-pub use socket::Socket;
+pub use socket::{Look, Socket};
--- a/crates/standin/src/sockets.rs
+++ b/crates/standin/src/sockets.rs
@@ -14,7 +14,7 @@
 use ivydrift_audit::{Auditor, Report};
 use ivydrift_policy::port::Repeat;
 use ivydrift_sockets::coroutine::{go, pause, prepare};
-use ivydrift_sockets::Socket;
+use ivydrift_sockets::{Look, Socket};
 use ivydrift_wire::body::{Part, Walk};
 use ivydrift_wire::http::{self, HeadWriter};
 use ivydrift_wire::{desk, list, orca, rpc};
@@ -61,7 +61,7 @@
 struct Hub {
     address: SocketAddr,
     shut: AtomicBool,
-    open: Mutex<HashMap<u64, Arc<Socket>>>,
+    open: Mutex<HashMap<u64, Look>>,
 }
 
 struct Rig {
@@ -70,7 +70,7 @@
     trace: Mutex<Sender<Line>>,
     nodes: Mutex<HashMap<u32, Arc<Hub>>>,
     servers: Mutex<Vec<Arc<Hub>>>,
-    idle: Mutex<HashMap<usize, Vec<Arc<Socket>>>>,
+    idle: Mutex<HashMap<usize, Vec<Socket>>>,
     listens: Vec<SocketAddr>,
     over: AtomicBool,
 }
@@ -234,8 +234,8 @@
         self.shut.store(true, Ordering::Release);
         // An accept in progress wakes by a connection.
         let _ = std::net::TcpStream::connect_timeout(&self.address, Duration::from_millis(100));
-        for socket in self.open.lock().unwrap().values() {
-            socket.cut();
+        for look in self.open.lock().unwrap().values() {
+            look.cut();
         }
     }
 }
@@ -246,7 +246,7 @@
     body: Vec<u8>,
 }
 
-type Serve = fn(&Arc<Rig>, &Socket, u32, Message) -> bool;
+type Serve = fn(&Arc<Rig>, &mut Socket, u32, Message) -> bool;
 
 /// Listens and serves each connection by `answer`, message after message.
 fn serve(rig: &Arc<Rig>, node: Option<(u32, Option<SocketAddr>)>, answer: Serve) -> io::Result<SocketAddr> {
@@ -276,13 +276,13 @@
                 pause(Duration::from_millis(5));
                 continue;
             };
-            let socket = Arc::new(Socket::new(stream));
-            hub.open.lock().unwrap().insert(name, socket.clone());
+            let Ok(mut socket) = Socket::new(stream) else { continue };
+            hub.open.lock().unwrap().insert(name, socket.look());
             let (rig, hub) = (rig.clone(), hub.clone());
             go(move || {
                 let mut buf = Vec::new();
-                while let Some(message) = read_message(&rig, &hub, &socket, &mut buf, node.is_some()) {
-                    if !answer(&rig, &socket, number, message) {
+                while let Some(message) = read_message(&rig, &hub, &mut socket, &mut buf, node.is_some()) {
+                    if !answer(&rig, &mut socket, number, message) {
                         break;
                     }
                 }
@@ -294,9 +294,9 @@
     Ok(address)
 }
 
-fn read_message(rig: &Rig, hub: &Hub, socket: &Socket, buf: &mut Vec<u8>, node: bool) -> Option<Message> {
+fn read_message(rig: &Rig, hub: &Hub, socket: &mut Socket, buf: &mut Vec<u8>, node: bool) -> Option<Message> {
     let idle_since = Instant::now();
-    let fill = |buf: &mut Vec<u8>| -> Option<()> {
+    let mut fill = |buf: &mut Vec<u8>| -> Option<()> {
         let mut part = [0; 4096];
         loop {
             let by = Instant::now() + Duration::from_millis(200);
@@ -376,7 +376,7 @@
     }
 }
 
-fn answer_list(rig: &Arc<Rig>, socket: &Socket, _: u32, message: Message) -> bool {
+fn answer_list(rig: &Arc<Rig>, socket: &mut Socket, _: u32, message: Message) -> bool {
     if rig.town.lock().unwrap().list_down() {
         return false;
     }
@@ -387,7 +387,7 @@
     send(socket, 200, &[(list::INDEX, &index.to_string())], &list::write(&nodes))
 }
 
-fn answer_desk(rig: &Arc<Rig>, socket: &Socket, _: u32, message: Message) -> bool {
+fn answer_desk(rig: &Arc<Rig>, socket: &mut Socket, _: u32, message: Message) -> bool {
     let marshal = asker(&message);
     if message.request.verb == "POST" {
         let Ok(vote) = desk::read::<desk::Vote>(&message.body) else { return send(socket, 400, &[], b"") };
@@ -412,7 +412,7 @@
     Some((parts.next()??, parts.next()??, parts.next()??))
 }
 
-fn answer_rpc(rig: &Arc<Rig>, socket: &Socket, node: u32, message: Message) -> bool {
+fn answer_rpc(rig: &Arc<Rig>, socket: &mut Socket, node: u32, message: Message) -> bool {
     let via = message.request.fields.get("via").unwrap_or("");
     let marshal = via.rsplit("ivydrift-").next().and_then(|n| n.parse().ok());
     let name = rpc::method_of(&message.request.target);
@@ -465,11 +465,11 @@
     let leave = ask.leaves.map_or(until, |l| began + l);
     let gone = if ask.leaves.is_some() { End::Left } else { End::TimeUp };
     let idle = rig.idle.lock().unwrap().get_mut(&ask.marshal).and_then(Vec::pop);
-    let socket = match idle.filter(|s| s.quiet()) {
+    let mut socket = match idle.filter(Socket::quiet) {
         Some(socket) => socket,
         None => {
             match Socket::connect(rig.listens[ask.marshal], leave.saturating_duration_since(Instant::now())) {
-                Ok(socket) => Arc::new(socket),
+                Ok(socket) => socket,
                 Err(e) if e.kind() == ErrorKind::TimedOut => return gone,
                 Err(_) => return End::Refused,
             }
@@ -497,7 +497,7 @@
         return End::Broken;
     }
     let mut buf = Vec::new();
-    let answer = match read_answer(&socket, &mut buf, leave) {
+    let answer = match read_answer(&mut socket, &mut buf, leave) {
         Ok(answer) => answer,
         Err(e) if e.kind() == ErrorKind::TimedOut => {
             socket.cut();
@@ -522,8 +522,8 @@
     End::Answered { kind, build: number(rpc::BUILD), picks: number(rpc::PICKS), retry_after }
 }
 
-fn read_answer(socket: &Socket, buf: &mut Vec<u8>, by: Instant) -> io::Result<http::Response> {
-    let fill = |buf: &mut Vec<u8>| -> io::Result<()> {
+fn read_answer(socket: &mut Socket, buf: &mut Vec<u8>, by: Instant) -> io::Result<http::Response> {
+    let mut fill = |buf: &mut Vec<u8>| -> io::Result<()> {
         let mut part = [0; 4096];
         let n = socket.read(&mut part, Some(by))?;
         buf.extend_from_slice(&part[..n]);
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -62,7 +62,8 @@
 
     /// The values of a field, by its name in any case.
     pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
-        self.iter().filter(move |(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v)
+        let named = move |f: &&Field| self.raw[f.name.clone()].eq_ignore_ascii_case(name.as_bytes());
+        self.fields.iter().filter(named).map(|f| &self.raw[f.value.clone()])
     }
 
     /// The first value of a field, where it is text.
@@ -251,9 +252,11 @@
 
     /// The end-to-end fields of another message, without those that `but` names.
     pub fn pass(mut self, fields: &Fields, but: &[&str]) -> Self {
+        let connection = fields.get("connection").is_some();
         for (name, value) in fields.iter() {
             let named = but.iter().any(|b| name.eq_ignore_ascii_case(b));
-            if !named && !hop_by_hop(name) && !fields.lists("connection", name) {
+            let hop = hop_by_hop(name) || (connection && fields.lists("connection", name));
+            if !named && !hop {
                 self = self.field(name, value);
             }
         }
