--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,8 +20,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ivydrift_marshal::{Core, Counts, Id, Input, Order};
+use ivydrift_sockets::listen;
 use ivydrift_terms::{Bounds, Places, Terms};
-use may::net::{TcpListener, UdpSocket};
+use may::net::UdpSocket;
 
 use clients::Client;
 use ivydrift_sockets::coroutine::{self, go, pause};
@@ -192,13 +193,7 @@
 /// When its addresses cannot be had.
 pub fn start(terms: Terms) -> io::Result<Running> {
     coroutine::prepare(terms.bounds.workers);
-    // may binds with SO_REUSEPORT: a second marshal on the same address would share its clients unseen. A plain
-    // bind first finds out; port 0 cannot be taken by another.
-    let wanted = terms.places.listen;
-    if wanted.port() != 0 {
-        drop(std::net::TcpListener::bind(wanted)?);
-    }
-    let listener = TcpListener::bind(wanted)?;
+    let listener = listen(terms.places.listen)?;
     let listens = listener.local_addr()?;
     let peers = match terms.places.peers.get(terms.rollout.marshal) {
         Some(own) => Some(UdpSocket::bind(own)?),
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -2,6 +2,8 @@
 #![deny(unsafe_code)]
 
 pub mod coroutine;
+mod listen;
 mod socket;
 
+pub use listen::listen;
 pub use socket::{Look, Socket};
--- a/crates/standin/src/sockets.rs
+++ b/crates/standin/src/sockets.rs
@@ -14,11 +14,10 @@
 use ivydrift_audit::{Auditor, Report};
 use ivydrift_policy::port::Repeat;
 use ivydrift_sockets::coroutine::{go, pause, prepare};
-use ivydrift_sockets::{Look, Socket};
+use ivydrift_sockets::{listen, Look, Socket};
 use ivydrift_wire::body::{Part, Walk};
 use ivydrift_wire::http::{self, HeadWriter};
 use ivydrift_wire::{desk, list, orca, rpc};
-use may::net::TcpListener;
 
 use crate::day::{Addresses, Day};
 use crate::desk::Standing;
@@ -92,13 +91,22 @@
     }
 }
 
-/// A free port below the range that connections going out are given.
-fn free_port(from: &mut u16) -> io::Result<SocketAddr> {
+/// An address for a marshal, and what keeps other days on this machine away from it: the socket of the other
+/// protocol on the same port.
+struct Claim {
+    addr: SocketAddr,
+    _held: Box<dyn std::any::Any>,
+}
+
+/// A port below the range that connections going out are given. `udp`: for datagrams.
+fn claim(from: &mut u16, udp: bool) -> io::Result<Claim> {
     for _ in 0..5000 {
         *from = if *from >= 31_000 { 21_000 } else { *from + 1 };
         let addr = SocketAddr::from(([127, 0, 0, 1], *from));
-        if std::net::TcpListener::bind(addr).is_ok() && std::net::UdpSocket::bind(addr).is_ok() {
-            return Ok(addr);
+        let (stream, datagram) = (std::net::TcpListener::bind(addr), std::net::UdpSocket::bind(addr));
+        if let (Ok(stream), Ok(datagram)) = (stream, datagram) {
+            let held: Box<dyn std::any::Any> = if udp { Box::new(stream) } else { Box::new(datagram) };
+            return Ok(Claim { addr, _held: held });
         }
     }
     Err(ErrorKind::AddrInUse.into())
@@ -116,8 +124,10 @@
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let (lasts, count) = (day.lasts, day.marshals);
     let mut port = 21_000 + (std::process::id() % 9000) as u16;
-    let listens: Vec<SocketAddr> = (0..count).map(|_| free_port(&mut port)).collect::<io::Result<_>>()?;
-    let peers: Vec<SocketAddr> = (0..count).map(|_| free_port(&mut port)).collect::<io::Result<_>>()?;
+    let claims: Vec<Claim> =
+        (0..2 * count).map(|i| claim(&mut port, i >= count)).collect::<io::Result<_>>()?;
+    let addrs: Vec<SocketAddr> = claims.iter().map(|c| c.addr).collect();
+    let (listens, peers) = (addrs[..count].to_vec(), addrs[count..].to_vec());
     let (send, receive) = channel::<Line>();
     let rig = Arc::new(Rig {
         town: Mutex::new(Town::new(day.clone(), unix.as_millis() as u64, SLACK)),
@@ -252,10 +262,10 @@
 fn serve(rig: &Arc<Rig>, node: Option<(u32, Option<SocketAddr>)>, answer: Serve) -> io::Result<SocketAddr> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     // A node that comes back listens where it did, if it can.
-    let again = node.and_then(|n| n.1).and_then(|addr| TcpListener::bind(addr).ok());
+    let again = node.and_then(|n| n.1).and_then(|addr| listen(addr).ok());
     let listener = match again {
         Some(listener) => listener,
-        None => TcpListener::bind(any)?,
+        None => listen(any)?,
     };
     let address = listener.local_addr()?;
     let hub = Arc::new(Hub { address, shut: AtomicBool::new(false), open: Mutex::default() });
