--- a/crates/marshal/tests/core.rs
+++ b/crates/marshal/tests/core.rs
@@ -136,6 +136,33 @@
     assert_eq!(bed.answers(1), ["aborted"]);
 }
 
+#[test]
+fn the_last_answer_is_on_its_way_before_the_client_s_time_is_up() {
+    for left in [40, 300, 1000, 3000] {
+        let mut bed = Bed::new();
+        let until = bed.now + ms(left);
+        bed.rpc(1, "pickup-book", left);
+        while bed.answers(1).is_empty() {
+            bed.now = bed.core.due().max(bed.now + Duration::from_micros(50));
+            bed.feed(Input::Tick);
+        }
+        let spare = until.saturating_sub(bed.now);
+        assert!(spare >= ms(15).min(ms(left) / 10), "{left} ms: answered {spare:?} before the end");
+    }
+}
+
+#[test]
+fn a_second_report_of_a_pick_answers_nothing_while_another_is_out() {
+    let mut bed = Bed::new();
+    bed.rpc(1, "pickup-book", 1000);
+    bed.end(1, 0, Saw::NotSent);
+    assert_eq!(bed.picks(1), 2);
+    bed.end(1, 0, OK);
+    assert!(bed.answers(1).is_empty(), "an answer that no pick has");
+    bed.end(1, 1, OK);
+    assert_eq!(bed.answers(1), ["ok"]);
+}
+
 #[test]
 fn what_proves_that_it_never_ran_allows_another_pick_and_what_does_not_does_not() {
     for (saw, picks) in [
@@ -268,7 +295,7 @@
 enum Step {
     Rpc(usize, u64),
     End(usize, Saw),
-    Again(usize),
+    Again(usize, usize),
     Began(usize),
     Left(usize),
     Time(u64),
@@ -285,7 +312,7 @@
     let step = prop_oneof![
         6 => (0usize..3, 1u64..1500).prop_map(|(m, left)| Step::Rpc(m, left)),
         8 => (0usize..50, saw).prop_map(|(i, saw)| Step::End(i, saw)),
-        1 => (0usize..50).prop_map(Step::Again),
+        1 => (0usize..50, 0usize..3).prop_map(|(i, pick)| Step::Again(i, pick)),
         1 => (0usize..50).prop_map(Step::Began),
         1 => (0usize..50).prop_map(Step::Left),
         6 => (0u64..300).prop_map(Step::Time),
@@ -359,7 +386,16 @@
                     bed.end(id, pick, saw)
                 }
                 // A report of a pick that has ended, or never was.
-                Step::Again(i) => bed.end((i % seen.len().max(1)) as Id, i, OK),
+                Step::Again(i, pick) => {
+                    let id = (i % seen.len().max(1)) as Id;
+                    let out = seen.get(&id).and_then(|s| s.picks.get(pick)).is_some_and(|p| p.1.is_none());
+                    if out {
+                        continue;
+                    }
+                    let orders = bed.end(id, pick, OK);
+                    prop_assert!(!orders.iter().any(|o| answer_of(o).is_some()), "{} answered again", id);
+                    orders
+                }
                 Step::Began(i) => {
                     let Some((id, pick)) = nth(i, &seen) else { continue };
                     bed.feed(Input::Began { id, pick })
