--- /dev/null
+++ b/crates/client/tests/laws.rs
@@ -0,0 +1,287 @@
+//! Seeded random runs of the core: the laws are checked after every step.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ivydrift_client::core::{Action, CallId, ConnId, Core, End, Event, Kind, Manners, Reply};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Call(u8, u64),
+    Connect(usize, bool),
+    Answer(usize, u8, bool),
+    Lose(usize, bool),
+    Close(usize, bool),
+    Cancel(usize),
+    Time(u64),
+    Stray(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        5 => (0u8..3, 10u64..2000).prop_map(|(kind, within)| Step::Call(kind, within)),
+        5 => (0usize..20, prop::bool::weighted(0.8)).prop_map(|(i, up)| Step::Connect(i, up)),
+        6 => (0usize..20, 0u8..8, any::<bool>()).prop_map(|(i, reply, keep)| Step::Answer(i, reply, keep)),
+        2 => (0usize..20, any::<bool>()).prop_map(|(i, sent)| Step::Lose(i, sent)),
+        1 => (0usize..20, any::<bool>()).prop_map(|(i, draining)| Step::Close(i, draining)),
+        1 => (0usize..20).prop_map(Step::Cancel),
+        5 => (1u64..400).prop_map(Step::Time),
+        1 => (0u64..30).prop_map(Step::Stray),
+    ];
+    proptest::collection::vec(step, 1..150)
+}
+
+#[derive(Debug)]
+struct Seen {
+    kind: Kind,
+    until: Duration,
+    first: Option<Duration>,
+    sends: u32,
+    ran: bool,
+    out: Option<ConnId>,
+    end: Option<End>,
+}
+
+#[derive(Default)]
+struct World {
+    calls: BTreeMap<CallId, Seen>,
+    connecting: Vec<ConnId>,
+    idle: Vec<ConnId>,
+    repeats: f64,
+}
+
+impl World {
+    fn check(&mut self, now: Duration, actions: &[Action], m: &Manners) -> Result<(), TestCaseError> {
+        for action in actions {
+            match *action {
+                Action::Connect { conn, .. } => {
+                    self.connecting.push(conn);
+                    prop_assert!(self.connecting.len() <= m.handshakes, "too many handshakes");
+                }
+                Action::Close { conn } => {
+                    self.idle.retain(|c| *c != conn);
+                    for call in self.calls.values_mut().filter(|c| c.out == Some(conn)) {
+                        call.out = None;
+                    }
+                }
+                Action::Send { call, conn, left, earlier } => {
+                    prop_assert!(
+                        self.idle.contains(&conn),
+                        "{} is sent on a connection that is not idle",
+                        call
+                    );
+                    self.idle.retain(|c| *c != conn);
+                    let seen = self.calls.get_mut(&call).unwrap();
+                    prop_assert!(
+                        seen.end.is_none() && seen.out.is_none(),
+                        "{} is sent after its end or twice",
+                        call
+                    );
+                    prop_assert!(
+                        now + left <= seen.until && left > m.least,
+                        "{} is sent with {:?} left",
+                        call,
+                        left
+                    );
+                    prop_assert_eq!(earlier, seen.sends, "an unmarked repeat");
+                    prop_assert!(seen.kind != Kind::NonIdempotent || !seen.ran, "{} may have run", call);
+                    if let Kind::Tokened { window } = seen.kind {
+                        let in_time = seen.first.is_none_or(|first| now < first + window);
+                        prop_assert!(!seen.ran || in_time, "{} is sent when its token is forgotten", call);
+                    }
+                    self.repeats += f64::from(u32::from(earlier > 0));
+                    seen.first = seen.first.or(Some(now));
+                    (seen.sends, seen.out) = (seen.sends + 1, Some(conn));
+                }
+                Action::Finish { call, end } => {
+                    let seen = self.calls.get_mut(&call).unwrap();
+                    prop_assert!(seen.end.is_none(), "{} ends twice", call);
+                    prop_assert!(now <= seen.until, "{} ends late", call);
+                    let harmless = matches!(end, End::PushedBack { .. } | End::NotSent | End::QueueFull);
+                    prop_assert!(!harmless || !seen.ran, "{} may have run and ends as {:?}", call, end);
+                    prop_assert!(seen.out.is_none(), "{} ends with its try out", call);
+                    seen.end = Some(end);
+                }
+            }
+        }
+        let calls = self.calls.len() as f64;
+        prop_assert!(self.repeats <= m.store + m.earned * calls + 1e-6, "more repeats than were earned");
+        Ok(())
+    }
+    fn out(&self, i: usize) -> Option<(CallId, ConnId)> {
+        let out: Vec<_> = self.calls.iter().filter_map(|(id, c)| Some((*id, c.out?))).collect();
+        out.get(i % out.len().max(1)).copied()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None, rng_seed: RngSeed::Fixed(11), ..ProptestConfig::with_cases(1500)
+    })]
+    #[test]
+    fn the_laws_hold_after_every_step(steps in steps(), seed in any::<u64>()) {
+        let manners = Manners { queue: 8, store: 3.0, ..Manners::default() };
+        let mut core = Core::new(manners.clone(), &[true, true, false], seed);
+        let (mut now, mut world) = (ms(1000), World::default());
+        for step in steps {
+            let event = match step {
+                Step::Call(kind, within) => {
+                    let call = world.calls.len() as CallId;
+                    let window = ms(700);
+                    let kind = [Kind::Idempotent, Kind::Tokened { window }, Kind::NonIdempotent][usize::from(kind)];
+                    let (until, first) = (now + ms(within), None);
+                    world.calls.insert(call, Seen { kind, until, first, sends: 0, ran: false, out: None, end: None });
+                    Event::Call { call, kind, within: ms(within) }
+                }
+                Step::Connect(i, up) => {
+                    if world.connecting.is_empty() {
+                        continue;
+                    }
+                    let conn = world.connecting.swap_remove(i % world.connecting.len());
+                    if up {
+                        world.idle.push(conn);
+                        Event::Connected { conn }
+                    } else {
+                        Event::ConnectFailed { conn }
+                    }
+                }
+                Step::Answer(i, reply, keep) => {
+                    let Some((call, conn)) = world.out(i) else { continue };
+                    let reply = match reply {
+                        0..4 => Reply::Ok,
+                        4..6 => Reply::PushedBack { retry_after: ms(100) },
+                        6 => Reply::Aborted,
+                        _ => Reply::Rejected,
+                    };
+                    let seen = world.calls.get_mut(&call).unwrap();
+                    seen.out = None;
+                    seen.ran |= matches!(reply, Reply::Ok | Reply::Aborted);
+                    if keep {
+                        world.idle.push(conn);
+                    }
+                    Event::Answered { call, reply, keep }
+                }
+                Step::Lose(i, sent) => {
+                    let Some((call, _)) = world.out(i) else { continue };
+                    let seen = world.calls.get_mut(&call).unwrap();
+                    (seen.out, seen.ran) = (None, seen.ran | sent);
+                    Event::Lost { call, sent }
+                }
+                Step::Close(i, draining) => {
+                    if world.idle.is_empty() {
+                        continue;
+                    }
+                    let conn = world.idle.swap_remove(i % world.idle.len());
+                    Event::Closed { conn, draining }
+                }
+                Step::Cancel(i) => Event::Cancelled { call: (i % world.calls.len().max(1)) as CallId },
+                Step::Time(span) => {
+                    let until = now + ms(span);
+                    while now < until {
+                        now = core.due().unwrap_or(until).max(now + Duration::from_micros(10)).min(until);
+                        let actions = core.handle(now, Event::Tick);
+                        mark_deadlines(&mut world, &actions);
+                        world.check(now, &actions, &manners)?;
+                    }
+                    Event::Tick
+                }
+                // Reports of calls and connections that are none, or over.
+                Step::Stray(n) => {
+                    if world.calls.get(&n).is_some_and(|c| c.out.is_some()) {
+                        continue;
+                    }
+                    Event::Answered { call: n, reply: Reply::Ok, keep: true }
+                }
+            };
+            let actions = core.handle(now, event);
+            mark_deadlines(&mut world, &actions);
+            world.check(now, &actions, &manners)?;
+        }
+        for _ in 0..2000 {
+            let Some(due) = core.due() else { break };
+            now = due.max(now + Duration::from_micros(10));
+            let actions = core.handle(now, Event::Tick);
+            mark_deadlines(&mut world, &actions);
+            world.check(now, &actions, &manners)?;
+        }
+        for (id, call) in &world.calls {
+            prop_assert!(call.end.is_some(), "{} never ends: {:?}", id, call);
+        }
+    }
+}
+
+/// A call that ends while its try is out (deadline, cancellation) may have run from then on.
+fn mark_deadlines(world: &mut World, actions: &[Action]) {
+    for action in actions {
+        if let Action::Finish { call, .. } = action {
+            let seen = world.calls.get_mut(call).unwrap();
+            seen.ran |= seen.out.is_some();
+        }
+    }
+}
+
+/// 20,000 clients lose their marshal in one instant. How many handshakes begin in each tenth of a second?
+#[test]
+fn reconnects_after_a_restart_come_as_a_slope() {
+    let manners = Manners { reconnect: [ms(4000), ms(20_000)], ..Manners::default() };
+    let mut slots = [0u32; 60];
+    for client in 0..20_000u64 {
+        let mut core = Core::new(manners.clone(), &[true], client);
+        let call = |call| Event::Call { call, kind: Kind::Idempotent, within: ms(8000) };
+        let first = core.handle(ms(1000), call(1));
+        let [Action::Connect { conn, .. }] = first[..] else { panic!("{first:?}") };
+        core.handle(ms(1001), Event::Connected { conn });
+        core.handle(ms(1002), Event::Answered { call: 1, reply: Reply::Ok, keep: true });
+        core.handle(ms(2000), Event::Closed { conn, draining: false });
+        // Each has something to ask at once.
+        let mut now = ms(2000);
+        let mut actions = core.handle(now, call(2));
+        while !actions.iter().any(|a| matches!(a, Action::Connect { .. })) {
+            now = core.due().expect("it waits to connect").max(now + ms(1));
+            actions = core.handle(now, Event::Tick);
+        }
+        slots[((now - ms(2000)).as_millis() / 100) as usize] += 1;
+    }
+    let used: Vec<u32> = slots.iter().copied().filter(|n| *n > 0).collect();
+    let (peak, mean) = (*used.iter().max().unwrap() as f64, 20_000.0 / used.len() as f64);
+    assert!(
+        peak / mean <= 2.0 && used.len() >= 38,
+        "peak {peak} over mean {mean:.0} in {} slots",
+        used.len()
+    );
+}
+
+#[test]
+fn overload_is_not_fed() {
+    // A marshal that pushes back everything for 10 s: what is sent dies down, and recovers after.
+    let mut core = Core::new(Manners::default(), &[true], 5);
+    let (mut now, mut sent, mut conn_of) = (ms(1000), [0u32; 20], BTreeMap::new());
+    for call in 0..2000u64 {
+        now += ms(10);
+        let mut todo = core.handle(now, Event::Call { call, kind: Kind::Idempotent, within: ms(1000) });
+        todo.extend(core.handle(now, Event::Tick));
+        while let Some(action) = todo.pop() {
+            match action {
+                Action::Connect { conn, .. } => todo.extend(core.handle(now, Event::Connected { conn })),
+                Action::Send { call, conn, .. } => {
+                    conn_of.insert(call, conn);
+                    let second = ((now - ms(1000)).as_secs() as usize).min(19);
+                    sent[second] += 1;
+                    let reply =
+                        if second < 10 { Reply::PushedBack { retry_after: ms(200) } } else { Reply::Ok };
+                    todo.extend(core.handle(now, Event::Answered { call, reply, keep: true }));
+                }
+                _ => {}
+            }
+        }
+    }
+    // A tenth is let through to see whether it recovers, and the budget repeats as much again.
+    assert!(sent[9] <= 25, "{} a second are sent of 100 asked: {sent:?}", sent[9]);
+    assert!(sent[19] > 80, "{sent:?}: it does not recover");
+}
