--- a/crates/client/src/core.rs
+++ b/crates/client/src/core.rs
@@ -209,7 +209,8 @@
     /// Times at which something is due, by call.
     due: BTreeSet<(Duration, CallId)>,
     store: f64,
-    /// Calls asked and let through lately, both fading.
+    /// Tries that have ended (with calls held back), and those that got through, both fading. What is still out
+    /// counts for neither: many calls at once are no sign of an overload.
     asked: f64,
     through: f64,
     faded: Duration,
@@ -299,12 +300,12 @@
     fn take(&mut self, now: Duration, call: CallId, kind: Kind, within: Duration, out: &mut Vec<Action>) {
         self.counts.calls += 1;
         self.fade(now);
-        self.asked += 1.0;
         self.store = (self.store + self.manners.earned).min(self.manners.store);
         // Adaptive throttling as in Google's SRE book: local refusals grow with what marshals refuse.
-        let excess = (self.asked - 1.0 - self.manners.throttle * (self.through + 5.0)) / (self.asked + 1.0);
+        let excess = (self.asked - self.manners.throttle * (self.through + 5.0)) / (self.asked + 1.0);
         if excess > 0.0 && self.rng.random_bool(excess.min(MOST_HELD)) {
             self.counts.held_back += 1;
+            self.asked += 1.0;
             out.push(Action::Finish { call, end: End::PushedBack { local: true } });
             return;
         }
@@ -367,6 +368,7 @@
     fn answered(&mut self, now: Duration, call: CallId, reply: Reply, keep: bool, out: &mut Vec<Action>) {
         let Some(marshal) = self.release(now, call, keep, out) else { return };
         self.marshals[marshal].failures = 0;
+        self.asked += 1.0;
         match reply {
             Reply::Ok => {
                 self.through += 1.0;
@@ -387,6 +389,7 @@
 
     fn lost(&mut self, now: Duration, call: CallId, sent: bool, out: &mut Vec<Action>) {
         let Some(marshal) = self.release(now, call, false, out) else { return };
+        self.asked += 1.0;
         self.failed(now, marshal);
         self.hold_off(now, marshal);
         let end = if sent { End::Unknown } else { End::NotSent };
@@ -448,6 +451,7 @@
             let Some(call) = self.calls.get_mut(&id) else { continue };
             if now >= call.until {
                 let out_now = matches!(call.stage, Stage::Out(_));
+                self.asked += f64::from(u8::from(out_now));
                 let end = match call.last {
                     _ if out_now || call.ran => End::Unknown,
                     Some(end) => end,
--- a/crates/client/tests/laws.rs
+++ b/crates/client/tests/laws.rs
@@ -285,3 +285,13 @@
     assert!(sent[9] <= 25, "{} a second are sent of 100 asked: {sent:?}", sent[9]);
     assert!(sent[19] > 80, "{sent:?}: it does not recover");
 }
+
+#[test]
+fn many_calls_at_once_are_not_taken_for_an_overload() {
+    let manners = Manners { queue: 200, ..Manners::default() };
+    let mut core = Core::new(manners, &[true], 9);
+    for call in 0..200 {
+        let actions = core.handle(ms(1000), Event::Call { call, kind: Kind::Idempotent, within: ms(1000) });
+        assert!(!actions.iter().any(|a| matches!(a, Action::Finish { .. })), "call {call}: {actions:?}");
+    }
+}
