--- a/crates/ivydrift/src/day.rs
+++ b/crates/ivydrift/src/day.rs
@@ -13,17 +13,13 @@
 use crate::marshals::Processes;
 use crate::table::Played;
 
-/// A day file as the operators' bench draws it.
+/// How a day is played and shown.
 #[derive(Args)]
-pub struct BenchDayCommand {
-    /// The day file (JSON), read in place
-    file: PathBuf,
-    /// Print the script that is played, and end
-    #[arg(long)]
-    script: bool,
-    /// Play in virtual time
+struct Way {
+    /// Play in virtual time, with the marshals' core in this process
     #[arg(long)]
     sim: bool,
+    /// Print one JSON object instead of the table
     #[arg(long)]
     json: bool,
     /// Keep trace, terms and logs in this folder
@@ -31,6 +27,18 @@
     keep: Option<PathBuf>,
 }
 
+/// A day file as the operators' bench draws it.
+#[derive(Args)]
+pub struct BenchDayCommand {
+    /// The day file (JSON), read in place
+    file: PathBuf,
+    /// Print the script that is played, and end
+    #[arg(long)]
+    script: bool,
+    #[command(flatten)]
+    way: Way,
+}
+
 impl BenchDayCommand {
     pub fn run(self) -> ExitCode {
         let name = self.file.display().to_string();
@@ -55,8 +63,7 @@
         };
         eprintln!("{name}: played at {:.2} of its size; not carried over:", carried.scale);
         carried.lost.iter().for_each(|what| eprintln!("  - {what}"));
-        let (sim, json, keep) = (self.sim, self.json, self.keep);
-        DayCommand { file: None, short: false, seed: None, sim, json, keep }.play(day)
+        self.way.play(day)
     }
 }
 
@@ -70,21 +77,14 @@
     /// Another seed than the script's
     #[arg(long)]
     seed: Option<u64>,
-    /// Play in virtual time, with the marshals' core in this process
-    #[arg(long)]
-    sim: bool,
-    /// Print one JSON object instead of the table
-    #[arg(long)]
-    json: bool,
-    /// Keep trace, terms and logs in this folder
-    #[arg(long, value_name = "DIR")]
-    keep: Option<PathBuf>,
+    #[command(flatten)]
+    way: Way,
 }
 
 impl DayCommand {
     pub fn run(self) -> ExitCode {
         match self.script() {
-            Ok(day) => self.play(day),
+            Ok(day) => self.way.play(day),
             Err(what) => {
                 eprintln!("{what}");
                 ExitCode::from(2)
@@ -92,6 +92,23 @@
         }
     }
 
+    fn script(&self) -> Result<Day, String> {
+        let mut day = match &self.file {
+            None if self.short => day::read("days/short.hcl", day::SHORT).map_err(|e| e.to_string())?,
+            None => day::read("days/bad.hcl", day::BAD).map_err(|e| e.to_string())?,
+            Some(file) => {
+                let name = file.display().to_string();
+                let text =
+                    std::fs::read_to_string(file).map_err(|e| format!("{name}: cannot be read: {e}"))?;
+                day::read(&name, &text).map_err(|e| e.to_string())?
+            }
+        };
+        day.seed = self.seed.unwrap_or(day.seed);
+        Ok(day)
+    }
+}
+
+impl Way {
     fn play(&self, day: Day) -> ExitCode {
         let played = if self.sim { self.in_virtual_time(day) } else { self.on_sockets(day) };
         match played {
@@ -114,21 +131,6 @@
         }
     }
 
-    fn script(&self) -> Result<Day, String> {
-        let mut day = match &self.file {
-            None if self.short => day::read("days/short.hcl", day::SHORT).map_err(|e| e.to_string())?,
-            None => day::read("days/bad.hcl", day::BAD).map_err(|e| e.to_string())?,
-            Some(file) => {
-                let name = file.display().to_string();
-                let text =
-                    std::fs::read_to_string(file).map_err(|e| format!("{name}: cannot be read: {e}"))?;
-                day::read(&name, &text).map_err(|e| e.to_string())?
-            }
-        };
-        day.seed = self.seed.unwrap_or(day.seed);
-        Ok(day)
-    }
-
     fn trace(&self) -> std::io::Result<Option<Box<dyn Write + Send>>> {
         let Some(folder) = &self.keep else { return Ok(None) };
         std::fs::create_dir_all(folder)?;
--- a/crates/standin/src/bench.rs
+++ b/crates/standin/src/bench.rs
@@ -108,10 +108,12 @@
     }
     let least = |key: &str| kinds.iter().filter_map(|k| number(k, key).ok()).fold(f64::INFINITY, f64::min);
     let most = |key: &str| kinds.iter().filter_map(|k| number(k, key).ok()).fold(0.0, f64::max);
-    let cancels = kinds.iter().all(|k| text(k, "cancel") == Ok("all"));
+    if kinds.iter().any(|k| text(k, "cancel") != Ok("none")) {
+        page.lose("work that stops when its pick is given up: here it goes on");
+    }
     let _ = writeln!(
         out,
-        "fleet {{\n  nodes = {nodes}\n  cores = {cores}\n  start = {}\n  leave = {}\n  queue = {}\n  cancels = {cancels}\n}}",
+        "fleet {{\n  nodes = {nodes}\n  cores = {cores}\n  start = {}\n  leave = {}\n  queue = {}\n}}",
         span(page.number("/fam/boot")?),
         span(page.number("/fam/drain")?),
         least("queue") as u64,
--- a/crates/standin/src/day.rs
+++ b/crates/standin/src/day.rs
@@ -162,8 +162,6 @@
     pub leave: Duration,
     /// RPCs that may wait at a node; more are turned away unseen.
     pub queue: usize,
-    /// Work that waits is dropped when its pick is given up.
-    pub cancels: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -203,7 +201,6 @@
     pub methods: Vec<(String, MethodTerms, Work)>,
     pub release: ReleaseTerms,
     pub rules: RuleTerms,
-    pub second_copies: bool,
     pub fleet: Fleet,
     pub traffic: Traffic,
     pub offers: Vec<Offer>,
@@ -279,7 +276,6 @@
         start: s.span("start", seconds(1.0)),
         leave: s.span("leave", seconds(3.0)),
         queue: s.whole("queue", Some(40), 1..=100_000) as usize,
-        cancels: s.flag("cancels", Some(false)),
     });
     let traffic = top.block("traffic", |s| Traffic {
         rate: s.number("rate", None, 0.1..=100_000.0),
@@ -323,7 +319,6 @@
         peers: top.flag("peers", Some(true)),
         release: top.block("release", |s| ivydrift_terms::release(s, marshals)),
         rules: top.block("rules", ivydrift_terms::rules),
-        second_copies: false,
         list_lag: top.span("list_lag", seconds(0.3)),
         desk_lag: top.span("desk_lag", seconds(0.2)),
         terms: top.copy(&["method", "release", "rules"]),
@@ -402,7 +397,7 @@
             by_method: self.release.by_method,
             guarded: self.release.guarded_stages as u32,
             one_way: self.release.one_way,
-            copies: self.second_copies,
+            copies: false,
             slack_us: us(slack),
             late_us: us(slack),
         }
