--- a/crates/standin/tests/days.rs
+++ b/crates/standin/tests/days.rs
@@ -180,3 +180,15 @@
         assert!(outcome.report.excused > 0, "nothing was in hand when a marshal was killed");
     }
 }
+
+#[test]
+fn a_desk_silent_for_ten_seconds_in_mid_trial_loses_no_verdict() {
+    for (seed, fault, end) in (0..6).flat_map(|s| [(s, 0.5, Course::Withdrawn), (s, 0.0, Course::Released)]) {
+        let mut day = bad(seed);
+        day.offers.truncate(1);
+        day.offers[0].much = fault;
+        // Votes get no answer from the trial's first vote on; half of them count all the same.
+        day.troubles = vec![trouble(Kind::DeskDown, 10.0, 10.0, 0.0)];
+        assert_eq!(course(&play(day), 2), Some(end), "seed {seed}");
+    }
+}
