--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -25,6 +25,8 @@
 const STAGE_LATEST: Duration = ms(9000);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
+/// A node errs by itself beyond this multiple of its arm's part of errors.
+const ODD: f64 = 2.0;
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
 /// late or slow on trial; late or slow when alone, with no older arm beside it.
 const PONDER: [Duration; 3] = [ms(800), ms(3000), ms(8000)];
@@ -61,21 +63,21 @@
 const HEAD_START: f64 = 0.2;
 const SPARE: f64 = 1.5; // Usual times before the soft deadline at which an RPC is given up.
 
-/// ε of the design for `n` outcomes of variance `var`.
-fn width(n: f64, var: f64) -> f64 {
+/// ε of the design for `n` outcomes of variance `var`, at confidence `delta`.
+fn width(n: f64, var: f64, delta: f64) -> f64 {
     let n = n.max(3.0);
-    (2.0 * var / n * (3.0 * n.ln().powi(2) / DELTA).ln()).sqrt()
+    (2.0 * var / n * (3.0 * n.ln().powi(2) / delta).ln()).sqrt()
 }
 
 /// mean + α·ε, with the design's σ² of 1/4; an arm short of the least sample ranks first.
 fn index(t: Tally) -> f64 {
-    t.mean() + if t.n < LEAST_SAMPLE { f64::INFINITY } else { ALPHA * width(t.n, 0.25) }
+    t.mean() + if t.n < LEAST_SAMPLE { f64::INFINITY } else { ALPHA * width(t.n, 0.25, DELTA) }
 }
 
 /// Arm `a` lies below `b` by more than the margin and the given part of both widths. σ² is what outcomes
 /// would have if the new build paid as the older one does, plus one outcome's doubt.
-fn below(a: Tally, b: Tally, margin: f64, part: f64, spread: f64) -> bool {
-    let eps = |t: Tally| part * width(t.n, (spread + 1.0 / t.n).min(0.25));
+fn below(a: Tally, b: Tally, margin: f64, part: f64, spread: f64, delta: f64) -> bool {
+    let eps = |t: Tally| part * width(t.n, (spread + 1.0 / t.n).min(0.25), delta);
     a.n.min(b.n) >= LEAST_SAMPLE && a.mean() + eps(a) < b.mean() - eps(b) - margin
 }
 
@@ -101,7 +103,10 @@
                     let early = outcome == Outcome::Timeout && took < HASTY * cx.law.duties[method].soft;
                     let outcome = if early { Outcome::Cancelled } else { outcome };
                     self.learn(cx.now, outcome, took);
-                    cx.put(JUDGE, Note::Booked { entry, method, at, outcome, took });
+                    // Repeats are RPCs that failed elsewhere: no fair sample of what a build does.
+                    if pick == 0 {
+                        cx.put(JUDGE, Note::Booked { entry, method, at, outcome, took });
+                    }
                 }
             }
             _ => {}
@@ -159,6 +164,12 @@
         (build == news.build && news.course != Course::Released).then_some((news.stage, news.cap))
     }
 
+    /// A key has met a build; an answer of an earlier one that comes later undoes nothing.
+    fn cross(&mut self, key: u64, build: Build) {
+        let met = self.crossed.entry(key).or_default();
+        *met = build.max(*met);
+    }
+
     /// Rule 1 (time left), rule 2 (repeats), rule 3 (drains), rule 5 (exposure), rule 4 (cold).
     fn admits(&self, cx: &Cx, rpc: &Rpc, card: &Card) -> bool {
         (card.ready && cx.now < rpc.until)
@@ -192,9 +203,8 @@
 
     fn exposable(&self, cx: &Cx, rpc: &Rpc, entry: &NodeEntry) -> bool {
         let (duty, rule) = (&cx.law.duties[rpc.method], &cx.law.exposure);
-        let back = self.news.is_some_and(|n| matches!(n.course, Course::GoingBack | Course::Withdrawn));
         let crossed = rpc.key.and_then(|key| self.crossed.get(&key));
-        if !back && crossed.is_some_and(|&build| entry.build < build) {
+        if !self.news.is_some_and(|n| n.back()) && crossed.is_some_and(|&build| entry.build < build) {
             return false;
         }
         let Some((stage, cap)) = self.trial(cx, entry.build) else { return true };
@@ -254,6 +264,11 @@
                     let usual = self.groups.entry((kind, zone)).or_insert(FIRST_GUESS * cx.law.least_soft);
                     *usual += 0.1 * (took - *usual);
                 }
+                if outcome == Outcome::Ok && cx.law.exposure.one_way {
+                    let left = self.gate.left.get(&rpc).copied();
+                    let sent = self.rpcs.get(&rpc).and_then(|r| Some((r.key?, r.picks.get(pick)?.entry.build)));
+                    left.or(sent).into_iter().for_each(|(key, sent)| self.gate.cross(key, sent.max(build)));
+                }
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
                     let part = took.as_secs_f64() / cx.law.duties[r.method].soft;
                     if outcome == Outcome::Ok || outcome == Outcome::Timeout && part > HASTY {
@@ -261,8 +276,6 @@
                     }
                     if outcome == Outcome::Ok {
                         self.usual[r.method] += 0.05 * (took.as_secs_f64() - self.usual[r.method]);
-                        let key = r.key.filter(|_| cx.law.exposure.one_way);
-                        self.gate.crossed.extend(key.map(|key| (key, build)));
                     }
                     if let Some(p) = r.picks.get_mut(pick) {
                         (p.out, p.never_ran) = (false, outcome.never_ran());
@@ -273,6 +286,8 @@
                     } else if !r.streaming && r.picks.iter().all(|p| !p.out) {
                         self.again(rpc, outcome.never_ran(), cx);
                     }
+                } else {
+                    self.gate.left.remove(&rpc);
                 }
                 self.make_room(took, cx);
                 cx.put(FRONT, Note::Pump);
@@ -280,10 +295,18 @@
             Note::Told(Event::StreamBegun { rpc, .. }) => {
                 self.rpcs.entry(rpc).and_modify(|r| r.streaming = true);
             }
-            Note::Told(Event::ClientLeft { rpc }) => self.forget(rpc),
+            Note::Told(Event::ClientLeft { rpc }) => {
+                // Its pick may still be answered ok, and its key has then met that build.
+                let out = self.rpcs.get(&rpc).and_then(|r| Some((r.key?, r.picks.iter().rfind(|p| p.out)?)));
+                self.gate.left.extend(out.map(|(key, pick)| (rpc, (key, pick.entry.build))));
+                self.forget(rpc);
+            }
             Note::Told(event) => {
                 if let Some((news, VoteReply::Unasked | VoteReply::Counts)) = News::read(cx, &event) {
                     self.gate.news = Some(news);
+                    if news.back() {
+                        self.gate.crossed.retain(|_, build| *build != news.build);
+                    }
                 }
             }
             Note::Beat if cx.now >= self.counted + LOOK => {
@@ -468,7 +491,7 @@
     ) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
-        let strained = below(on, calm, STRAINED, 0.5, var); // Pooled: alone, a marshal may see too little.
+        let strained = below(on, calm, STRAINED, 0.5, var, DELTA); // Pooled: alone, a marshal may see too little.
         if strained && nodes == 0 {
             self.cleared = Some(trial); // Slowed before the build had any node here.
         }
@@ -478,7 +501,7 @@
         if self.cleared == Some(trial) {
             return (false, false);
         }
-        let eased = below(on, off, EASED, 0.2, var);
+        let eased = below(on, off, EASED, 0.2, var, DELTA);
         let again = !lost && strained && eased && 2.0 * on.mean() < self.level + off.mean();
         match (self.since, self.relieved) {
             (None, Some(_)) if again => return (true, true),
@@ -585,9 +608,13 @@
         let mut books: Vec<(f64, &Book)> = self.books.iter().filter(mine).map(faults).collect();
         let quarter = books.len() / 4;
         books.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.entry.node.cmp(&b.1.entry.node)));
-        // A lone error is no node's own: where each was met once, all that failed would be left out.
-        let stays =
-            |i: usize, b: &Book| if few { i < quarter.max(1) } else { i >= quarter || b.lone_error() };
+        // Its errors are a node's own only beyond what all its arm meets: a lone one, or bad RPCs, are not.
+        let total = books.iter().fold(Tally::default(), |mut all, b| {
+            all.add(b.1.sound(), 1.0);
+            all
+        });
+        let usual = |b: &Book| b.sound().missed() <= 1.0 + ODD * b.sound().n * (1.0 - total.mean());
+        let stays = |i: usize, b: &Book| if few { i < quarter.max(1) } else { i >= quarter || usual(b) };
         let kept = books.iter().enumerate().filter(|(i, b)| b.1.used() && stays(*i, b.1));
         kept.for_each(|(_, b)| b.1.add_to(&mut sums));
         (sums, books.len())
@@ -665,7 +692,9 @@
             .map(|p| (*p, MARGIN[1], var(p)))
             .chain([(payoff, MARGIN[0], 0.25), (pace, slower, var(&pace))])
             .collect();
-        let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v));
+        // Where few of many marshals can send a build back, each must be the surer: any of them may err.
+        let delta = DELTA * cx.law.back_part;
+        let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v, delta));
         let sound_nodes = self.books.iter().filter(|b| b.ready && !b.ill).count() as f64;
         let apart = self.ready(false) > nodes && sound_nodes >= WHOLE * self.places;
         let lost = ((self.ready(false) + nodes) as f64) < WHOLE * self.places;
@@ -679,7 +708,7 @@
         let (ponder, calm) = (PONDER[late + alone], self.stirred * alone as u32);
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
         let guilty = self.guilty.is_some_and(|since| cx.now >= since.max(calm) + ponder);
-        let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25);
+        let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25, DELTA);
         let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
         let ripe = better || cx.now >= self.begun(news, cx) + wait;
         let verdict = match found.or(worse(0.4)) {
@@ -705,8 +734,12 @@
         if idle || self.cast.is_some_and(|(_, at, _)| cx.now < at + pause) {
             return;
         }
-        if self.cast.is_none_or(|(cast, ..)| cast != wish) && cx.law.marshal < RING {
-            let why = found.or(worse(0.4)).map_or(String::new(), |q| format!(", question {q}"));
+        let teller = cx.law.marshal < RING || verdict == Verdict::Back;
+        if self.cast.is_none_or(|(cast, ..)| cast != wish) && teller {
+            let why = found.or(worse(0.4)).map_or(String::new(), |q| {
+                let (p, ..) = asked.get(q).copied().unwrap_or((payoff, 0.0, 0.0));
+                format!(", question {q}: {:.0}/{:.0} beside {:.0}/{:.0}", p[0].good, p[0].n, p[1].good, p[1].n)
+            });
             cx.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}{why}")));
         }
         self.cast = Some((wish, cx.now, false));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -25,6 +25,9 @@
     pub fn mean(&self) -> f64 {
         self.good / self.n.max(1e-9)
     }
+    pub fn missed(&self) -> f64 {
+        self.n - self.good
+    }
 }
 
 /// New and old arm on one question.
@@ -52,6 +55,8 @@
     pub vote_wait: Duration,
     /// Seconds a vote that all marshals together may send.
     pub vote_gap: f64,
+    /// The part of all marshals that can send a build back.
+    pub back_part: f64,
     pub peers: bool,
     /// The last stage, where the earlier machines stay until the release.
     pub rehearse: Option<usize>,
@@ -115,6 +120,7 @@
             vote_life: release.vote_life,
             vote_wait: release.vote_wait,
             vote_gap: marshals / release.vote_rate,
+            back_part: release.back_votes.max(1) as f64 / marshals,
             peers: limits.peers,
             rehearse: release.shares.len().checked_sub(1).filter(|_| !release.in_place),
             kinds: terms.kinds.max(1),
@@ -266,6 +272,10 @@
 }
 
 impl News {
+    /// The build is being sent back, or has been.
+    pub fn back(&self) -> bool {
+        matches!(self.course, Course::GoingBack | Course::Withdrawn)
+    }
     pub fn read(cx: &Cx, event: &Event) -> Option<(News, VoteReply)> {
         let &Event::Stage { build, stage, course, reply, cap, age } = event else { return None };
         Some((News { build, stage, course, cap, launched: cx.now.saturating_sub(age) }, reply))
@@ -323,7 +333,7 @@
         self.times.iter_mut().zip(other.times).for_each(|(a, b)| *a += part * b);
     }
     pub fn faults(&self) -> f64 {
-        self.sound.n - self.sound.good + self.paid.n - self.paid.good
+        self.sound.missed() + self.paid.missed()
     }
     /// The bin within which the given part of the answers came.
     pub fn edge(&self, part: f64, least: f64) -> Option<usize> {
@@ -366,10 +376,11 @@
     pub fn faults(&self) -> f64 {
         self.methods.iter().map(Ledger::faults).sum()
     }
-    /// One error or wrong answer, no more.
-    pub fn lone_error(&self) -> bool {
-        let errors = self.methods.iter().map(|l| l.sound.n - l.sound.good).sum::<f64>();
-        errors > 0.0 && errors <= 1.0
+    /// Answers without error or flag, of all methods.
+    pub fn sound(&self) -> Tally {
+        let mut all = Tally::default();
+        self.methods.iter().for_each(|l| all.add(l.sound, 1.0));
+        all
     }
     pub fn used(&self) -> bool {
         self.methods.iter().any(|l| l.sound.n + l.paid.n > 0.0)
@@ -421,6 +432,8 @@
     pub served: f64,
     /// Keys that a build on trial has answered under the one-way rule, with that build.
     pub crossed: BTreeMap<u64, Build>,
+    /// Keys of RPCs whose client left while a pick was out, with that pick's build.
+    pub left: BTreeMap<RpcIx, (u64, Build)>,
 }
 
 impl Gate {
