--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -401,7 +401,9 @@
         // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release.
         let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
         let [old, new] = self.weights;
-        let share = new / if rehearsal { new.max(old) } else { new + old }.max(1e-9);
+        let whole = if rehearsal { new.max(old) } else { new + old };
+        // Nothing falls due to a build that gets nothing: many marshals would make it good all at once.
+        let share = if self.starved { 0.0 } else { new / whole.max(1e-9) };
         let reach = (self.pulse[0] / self.pulse[1].max(1.0) * cx.law.kept / KEPT[0]).max(KEPT[1]);
         let most_rest = 5 * self.resting >= 4 * all;
         let due = [SHARE_LIMIT[0] * (1.0 - share), SHARE_LIMIT[0] * share];
