--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -218,7 +218,7 @@
 
     /// Peers are taken to send in proportion to what each has had answered: less than the fleet can do.
     /// Budgets between whole RPCs are rounded by lot each window: hundreds of marshals add up to them.
-    fn warm_enough(&self, cx: &Cx, entry: &NodeEntry) -> bool {
+    pub fn warm_enough(&self, cx: &Cx, entry: &NodeEntry) -> bool {
         let (age, law) = (cx.age(entry), &cx.law);
         if age >= law.warming + law.fall_window {
             return true;
@@ -400,7 +400,7 @@
         let all = self.arms[0].len() + self.arms[1].len();
         // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release.
         let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
-        let [old, new] = self.weights;
+        let [old, new] = self.open;
         let whole = if rehearsal { new.max(old) } else { new + old };
         // Nothing falls due to a build that gets nothing: many marshals would make it good all at once.
         let share = if self.starved { 0.0 } else { new / whole.max(1e-9) };
@@ -549,6 +549,7 @@
                     ledger.times[bin] += Tally::one(ok).good;
                     let calm = &self.before[kind * cx.law.duties.len() + method];
                     let edge = calm.edge(CALM, LEAST_SAMPLE / 3.0).filter(|_| entry.build < self.newest);
+                    let edge = edge.filter(|_| outcome != Outcome::Error); // Its time says nothing of strain.
                     edge.into_iter().for_each(|edge| self.strain.book(at, Tally::one(ok && bin <= edge)));
                 }
             }
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -463,6 +463,8 @@
     pub stale: bool,
     /// What the nodes of each arm can do at present, at the least.
     pub weights: [f64; 2],
+    /// The part of that on nodes which may be sent to now: not cold, or with budget left.
+    pub open: [f64; 2],
     pub resting: usize,
     pub rpcs: BTreeMap<RpcIx, Rpc>,
     pub waiting: BTreeSet<(Duration, RpcIx)>,
@@ -514,6 +516,8 @@
         let entry = |node: &NodeIx| &self.cards[*node].entry;
         let weigh = |node| cx.law.present(cx.age(entry(node))) * power(entry(node));
         self.weights = [0, 1].map(|arm: usize| self.arms[arm].iter().map(weigh).sum());
+        let open = |node: &&NodeIx| self.gate.warm_enough(cx, entry(node));
+        self.open = [0, 1].map(|arm: usize| self.arms[arm].iter().filter(open).map(weigh).sum());
         self.fair = (self.weights[0] + self.weights[1]) / cx.law.marshals;
         self.stale = false;
     }
