--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -33,7 +33,7 @@
 /// The part of the older arm's answers that is brisk when calm, how far it falls under strain, how much it
 /// must rise without the build, and the part of the fleet that must be sound for the test to tell anything.
 const CALM: f64 = 0.75;
-const STRAINED: f64 = 0.03;
+const STRAINED: f64 = 0.08;
 const EASED: f64 = 0.02;
 const WHOLE: f64 = 0.85;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
@@ -476,16 +476,30 @@
 /// slower than before the trial, the build gets nothing for a while. If that arm mostly recovers and is
 /// slowed again with the build's return, the build is guilty; else cleared for the stage. Hurts by its delay.
 impl Strain {
-    fn book(&mut self, at: Duration, one: Tally) {
+    fn book(&mut self, at: Duration, method: usize, one: Tally) {
+        let most = self.lately.len().max(method + 1);
+        self.lately.resize(most, Tally::default());
+        self.off.resize(most, Tally::default());
         // What was sent before the build's return, and is slow, ends after it: not counted.
         match (self.since, self.relieved) {
             (None, Some(relieved)) if at < relieved + 5 * LOOK => {}
-            (None, _) => self.lately.add(one, 1.0),
-            (Some(since), _) if at >= since + ABSTAIN[1] => self.off.add(one, 1.0),
+            (None, _) => self.lately[method].add(one, 1.0),
+            (Some(since), _) if at >= since + ABSTAIN[1] => self.off[method].add(one, 1.0),
             _ => {}
         }
     }
 
+    /// All methods but the one that fares worst, if there are others: what slows one alone slows no nodes.
+    fn pool(mut each: Vec<Pair>) -> Pair {
+        let brisk = |p: &Pair| (p[0].good + p[1].good) / (p[0].n + p[1].n).max(1e-9);
+        let met = |p: &Pair| p[0].n + p[1].n > 0.0;
+        each.retain(met);
+        each.sort_by(|a, b| brisk(a).total_cmp(&brisk(b)));
+        let mut sum = Pair::default();
+        each.iter().skip(usize::from(each.len() > 1)).for_each(|p| join(&mut sum, p));
+        sum
+    }
+
     /// Whether the build is held for strain, and whether it is guilty of it.
     fn weigh(
         &mut self, now: Duration, trial: (Build, usize), nodes: usize, [apart, lost]: [bool; 2],
@@ -509,19 +523,21 @@
             (None, Some(_)) if again => return (true, true),
             (None, Some(at)) if now >= at + ABSTAIN[2] => (self.relieved, self.cleared) = (None, Some(trial)),
             (None, None) if (strained || joined) && apart && nodes > 0 => {
-                (self.since, self.off) = (Some(now), Tally::default())
+                self.since = Some(now);
+                self.off.fill(Tally::default());
             }
             (Some(since), _) if now >= since + ABSTAIN[0] => {
                 // Recovery by more than half counts: other troubles ease by themselves, and by less.
                 let relief = eased && off.mean() > on.mean() + 0.4 * (CALM - on.mean());
                 self.relieved = relief.then_some(now);
                 (self.level, self.cleared) = (on.mean(), (!relief).then_some(trial));
-                (self.since, self.lately) = (None, Tally::default());
+                self.since = None;
+                self.lately.fill(Tally::default());
             }
             _ => {}
         }
         if self.since.is_none() {
-            self.lately.add(self.lately, -0.05);
+            self.lately.iter_mut().for_each(|t| t.add(*t, -0.05));
         }
         (strained || self.since.is_some() || self.relieved.is_some(), false)
     }
@@ -550,7 +566,7 @@
                     let calm = &self.before[kind * cx.law.duties.len() + method];
                     let edge = calm.edge(CALM, LEAST_SAMPLE / 3.0).filter(|_| entry.build < self.newest);
                     let edge = edge.filter(|_| outcome != Outcome::Error); // Its time says nothing of strain.
-                    edge.into_iter().for_each(|edge| self.strain.book(at, Tally::one(ok && bin <= edge)));
+                    edge.into_iter().for_each(|edge| self.strain.book(at, method, Tally::one(ok && bin <= edge)));
                 }
             }
             Note::Told(Event::Disputed { node, method, age }) => {
@@ -639,7 +655,8 @@
         };
         let count = cx.law.duties.len();
         let mut pairs = vec![Pair::default(); count + 2];
-        pairs.push([self.strain.off, self.strain.lately]);
+        let strain = |m| [&self.strain.off, &self.strain.lately].map(|t| t.get(m).copied().unwrap_or_default());
+        pairs.extend((0..count).map(strain));
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
             join(&mut pairs[0], &[n.paid, o.paid]);
             join(&mut pairs[1 + i % count], &[n.sound, o.sound]);
@@ -687,7 +704,8 @@
         let released = news.course == Course::Released;
         // Questions in order: soundness by method, soundness of all, payoff, pace; with margin and variance.
         let (mut sound, payoff) = (Pair::default(), pairs.remove(0));
-        let (strain, pace) = (pairs.pop().unwrap_or_default(), pairs.pop().unwrap_or_default());
+        let strain = Strain::pool(pairs.split_off(cx.law.duties.len() + 1));
+        let pace = pairs.pop().unwrap_or_default();
         pairs.iter().for_each(|p| join(&mut sound, p));
         let var = |p: &Pair| p[1].mean() * (1.0 - p[1].mean());
         let slower = MARGIN[2] + MARGIN[3] / (nodes.max(1) as f64).sqrt();
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -606,11 +606,11 @@
     pub failures: i32,
 }
 
-/// The test by abstention: the older arm with the build's traffic and without it.
+/// The test by abstention: the older arm with the build's traffic and without it, by method.
 #[derive(Default)]
 pub struct Strain {
-    pub lately: Tally,
-    pub off: Tally,
+    pub lately: Vec<Tally>,
+    pub off: Vec<Tally>,
     pub since: Option<Duration>,
     /// A peer has begun to abstain.
     pub joined: bool,
