--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -29,7 +29,7 @@
 const ODD: f64 = 2.0;
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
 /// late or slow on trial; late or slow when alone, with no older arm beside it.
-const PONDER: [Duration; 3] = [ms(800), ms(3000), ms(8000)];
+const PONDER: [Duration; 3] = [ms(800), ms(3000), ms(15_000)];
 /// The part of the older arm's answers that is brisk when calm, how far it falls under strain, how much it
 /// must rise without the build, and the part of the fleet that must be sound for the test to tell anything.
 const CALM: f64 = 0.75;
@@ -253,7 +253,15 @@
                 let (soft, until) = (cx.now + secs(duty.soft).min(left), cx.now + left);
                 let rank = soft.saturating_sub(secs(HEAD_START * duty.worth));
                 self.rpcs.insert(rpc, Rpc { method, key, soft, until, rank, ..Rpc::default() });
-                self.serve(rpc, cx);
+                // Where the build's nodes took earlier ones' places, the rest must not be burdened more while
+                // it gets nothing, or the test would show only that: its part is asked to come back.
+                self.spare += if self.starved && cx.law.rehearse.is_none() { self.lent() } else { 0.0 };
+                if self.spare >= 1.0 {
+                    self.spare -= 1.0;
+                    self.give_up(rpc, cx);
+                } else {
+                    self.serve(rpc, cx);
+                }
             }
             Note::Told(Event::PickEnded { rpc, pick, node, outcome, took, done, .. }) => {
                 self.oks += f64::from(u8::from(outcome == Outcome::Ok));
@@ -328,6 +336,11 @@
         }
     }
 
+    /// The part of the fleet's power that runs the newest build.
+    fn lent(&self) -> f64 {
+        self.weights[1] / (self.weights[0] + self.weights[1]).max(1e-9)
+    }
+
     fn out(&self, cx: &Cx) -> f64 {
         let held = |r: &&Rpc| cx.now < r.soft && r.picks.iter().any(|p| p.out);
         self.rpcs.values().filter(held).count() as f64
@@ -539,7 +552,8 @@
         if self.since.is_none() {
             self.lately.iter_mut().for_each(|t| t.add(*t, -0.05));
         }
-        (strained || self.since.is_some() || self.relieved.is_some(), false)
+        // Where no test can be made, holding the build teaches nothing.
+        (strained && apart || self.since.is_some() || self.relieved.is_some(), false)
     }
 }
 
@@ -564,9 +578,12 @@
                     let bin = bin(took / soft);
                     ledger.times[bin] += Tally::one(ok).good;
                     let calm = &self.before[kind * cx.law.duties.len() + method];
-                    let edge = calm.edge(CALM, LEAST_SAMPLE / 3.0).filter(|_| entry.build < self.newest);
-                    let edge = edge.filter(|_| outcome != Outcome::Error); // Its time says nothing of strain.
-                    edge.into_iter().for_each(|edge| self.strain.book(at, method, Tally::one(ok && bin <= edge)));
+                    // Its time says nothing of strain where it erred, nor that of nodes on trial.
+                    let asked = entry.build < self.newest && outcome != Outcome::Error;
+                    let edge = calm.edge(CALM, LEAST_SAMPLE / 3.0).filter(|_| asked);
+                    if let Some(edge) = edge {
+                        self.strain.book(at, method, Tally::one(ok && bin <= edge));
+                    }
                 }
             }
             Note::Told(Event::Disputed { node, method, age }) => {
@@ -717,7 +734,9 @@
         let delta = DELTA * cx.law.back_part;
         let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v, delta));
         let sound_nodes = self.books.iter().filter(|b| b.ready && !b.ill).count() as f64;
-        let apart = self.ready(false) > nodes && sound_nodes >= WHOLE * self.places;
+        // Before all of the stage's machines run, the test would clear it at an earlier stage's traffic.
+        let runs = cx.now >= self.begun(news, cx);
+        let apart = runs && !self.alone() && sound_nodes >= WHOLE * self.places;
         let lost = ((self.ready(false) + nodes) as f64) < WHOLE * self.places;
         let trial = Some((news.build, news.stage)).filter(|_| !released);
         let (held, shared) =
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -474,6 +474,8 @@
     pub new_first: bool,
     /// The build on trial gets nothing for now.
     pub starved: bool,
+    /// RPCs that it would have had meanwhile, where the older arm cannot take them on.
+    pub spare: f64,
     pub retries: f64,
     /// Usual time of an ok by method, in seconds.
     pub usual: Vec<f64>,
