--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -218,9 +218,9 @@
 
     /// Peers are taken to send in proportion to what each has had answered: less than the fleet can do.
     /// Budgets between whole RPCs are rounded by lot each window: hundreds of marshals add up to them.
-    pub fn warm_enough(&self, cx: &Cx, entry: &NodeEntry) -> bool {
+    fn warm_enough(&self, cx: &Cx, entry: &NodeEntry) -> bool {
         let (age, law) = (cx.age(entry), &cx.law);
-        if age >= law.warming + law.fall_window {
+        if law.warm(age) {
             return true;
         }
         let least = law.present(age.saturating_sub(law.fall_window));
@@ -413,7 +413,7 @@
         let all = self.arms[0].len() + self.arms[1].len();
         // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release.
         let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
-        let [old, new] = self.open;
+        let [old, new] = self.weights;
         let whole = if rehearsal { new.max(old) } else { new + old };
         // Nothing falls due to a build that gets nothing: many marshals would make it good all at once.
         let share = if self.starved { 0.0 } else { new / whole.max(1e-9) };
@@ -424,7 +424,14 @@
         let first = usize::from(self.new_first && !r.burnt && !self.starved); // Repeats: older first.
         let mut arms = [first, 1 - first];
         arms.sort_by_key(|&arm| !within[arm]);
-        for wary in [true, false] {
+        // Cold nodes have budgets: the arm's picks are split between them and the warm ones by what each can do,
+        // or the marshals without budget would send the cold ones' part to the few warm.
+        let split = [0, 1].map(|arm: usize| {
+            let part = self.cold[arm] / self.weights[arm].max(1e-9);
+            usize::from(chance(cx.law.seed, self.draws + 8) as f64 / u64::MAX as f64 >= part)
+        });
+        let mut charged = None;
+        for (wary, apart) in [(true, true), (true, false), (false, false)] {
             for arm in arms {
                 let fits = |c: &&Card| {
                     let unsure = c.in_flight > 0 || cx.law.duties[r.method].repeat == Repeat::NonIdempotent;
@@ -433,7 +440,8 @@
                     (if wary { !doubt } else { !c.resting || most_rest }) && self.gate.admits(cx, r, c)
                 };
                 // Two random choices among the first of this marshal's own order of nodes; the rest are next.
-                let list = &self.arms[arm];
+                let (cold, warm) = self.arms[arm].split_at(self.chill[arm]);
+                let list = if apart { [cold, warm][split[arm]] } else { &self.arms[arm] };
                 let near = (reach * list.len() as f64 / all as f64).ceil().max(2.0) as usize;
                 let near = near.min(list.len());
                 let draw = |nth: u64| {
@@ -444,8 +452,11 @@
                 };
                 let cost = |c: &Card| (c.in_flight + 1) as f64 * self.pace(c, cx);
                 if let Some((a, b)) = draw(0).and_then(|a| Some((a, draw(4)?))) {
-                    return Some((arm, due, if cost(b) < cost(a) { b.entry } else { a.entry }));
+                    let entry = if cost(b) < cost(a) { b.entry } else { a.entry };
+                    return Some((charged.unwrap_or(arm), due, entry));
                 }
+                // What cold nodes cannot take is not saved up for warm ones.
+                charged = charged.or((apart && split[arm] == 0 && within[arm]).then_some(arm));
             }
         }
         None
@@ -461,7 +472,7 @@
         let Some((arm, due, entry)) = self.rpcs.get(&rpc).and_then(|r| self.choose(r, cx)) else {
             return false;
         };
-        self.draws += 8;
+        self.draws += 9;
         let pace = self.pace(&self.cards[entry.node], cx);
         let Some(r) = self.rpcs.get_mut(&rpc) else { return false };
         self.waiting.remove(&(r.rank, rpc));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// From this age on a node needs no budget.
+    pub fn warm(&self, age: Duration) -> bool {
+        age >= self.warming + self.fall_window
+    }
+
     /// The least part of its capacity that a node has at some age.
     pub fn present(&self, age: Duration) -> f64 {
         let grown = age.as_secs_f64() / self.warming.as_secs_f64().max(0.001);
@@ -463,8 +468,9 @@
     pub stale: bool,
     /// What the nodes of each arm can do at present, at the least.
     pub weights: [f64; 2],
-    /// The part of that on nodes which may be sent to now: not cold, or with budget left.
-    pub open: [f64; 2],
+    /// The part of that on cold nodes, which come first in `arms`, and how many those are.
+    pub cold: [f64; 2],
+    pub chill: [usize; 2],
     pub resting: usize,
     pub rpcs: BTreeMap<RpcIx, Rpc>,
     pub waiting: BTreeSet<(Duration, RpcIx)>,
@@ -512,14 +518,16 @@
             let mine =
                 self.cards.iter().filter(ready).filter(|c| (c.entry.build == self.newest) == (arm == 1));
             *list = mine.map(|c| c.entry.node).collect();
-            list.sort_by_cached_key(|&node| chance(cx.law.seed, 1 << 62 | node as u64));
+            let warm = |node: &NodeIx| cx.law.warm(cx.age(&self.cards[*node].entry));
+            list.sort_by_cached_key(|node| (warm(node), chance(cx.law.seed, 1 << 62 | *node as u64)));
+            self.chill[arm] = list.iter().filter(|node| !warm(node)).count();
         }
         self.resting = self.cards.iter().filter(ready).filter(|c| c.resting).count();
         let entry = |node: &NodeIx| &self.cards[*node].entry;
         let weigh = |node| cx.law.present(cx.age(entry(node))) * power(entry(node));
         self.weights = [0, 1].map(|arm: usize| self.arms[arm].iter().map(weigh).sum());
-        let open = |node: &&NodeIx| self.gate.warm_enough(cx, entry(node));
-        self.open = [0, 1].map(|arm: usize| self.arms[arm].iter().filter(open).map(weigh).sum());
+        let cold = |arm: usize| self.arms[arm][..self.chill[arm]].iter().map(weigh).sum();
+        self.cold = [cold(0), cold(1)];
         self.fair = (self.weights[0] + self.weights[1]) / cx.law.marshals;
         self.stale = false;
     }
