--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -656,11 +656,10 @@
         let quarter = books.len() / 4;
         books.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.entry.node.cmp(&b.1.entry.node)));
         // Its errors are a node's own only beyond what all its arm meets: a lone one, or bad RPCs, are not.
-        let total = books.iter().fold(Tally::default(), |mut all, b| {
-            all.add(b.1.sound(), 1.0);
-            all
-        });
-        let usual = |b: &Book| b.sound().missed() <= 1.0 + ODD * b.sound().n * (1.0 - total.mean());
+        let mut total = Pair::default();
+        books.iter().for_each(|b| join(&mut total, &b.1.sums()));
+        let normal = |own: &Tally, all: &Tally| own.missed() <= 1.0 + ODD * own.n * (1.0 - all.mean());
+        let usual = |b: &Book| b.sums().iter().zip(&total).all(|(own, all)| normal(own, all));
         let stays = |i: usize, b: &Book| if few { i < quarter.max(1) } else { i >= quarter || usual(b) };
         let kept = books.iter().enumerate().filter(|(i, b)| b.1.used() && stays(*i, b.1));
         kept.for_each(|(_, b)| b.1.add_to(&mut sums));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -381,10 +381,10 @@
     pub fn faults(&self) -> f64 {
         self.methods.iter().map(Ledger::faults).sum()
     }
-    /// Answers without error or flag, of all methods.
-    pub fn sound(&self) -> Tally {
-        let mut all = Tally::default();
-        self.methods.iter().for_each(|l| all.add(l.sound, 1.0));
+    /// Soundness and payoff of all methods.
+    pub fn sums(&self) -> Pair {
+        let mut all = Pair::default();
+        self.methods.iter().for_each(|l| join(&mut all, &[l.sound, l.paid]));
         all
     }
     pub fn used(&self) -> bool {
