--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -20,6 +20,8 @@
 /// A node counts for neither arm's payoff before this age; records are halved this often.
 const YOUNG: Duration = ms(5000);
 const HALVE: Duration = ms(5000);
+/// Payoff is halved this often too: the older arm's must not rest on a calmer time than the build's.
+const RENEW: Duration = ms(2000);
 /// Vote on after this from a stage's machines running; a stage counts as begun this long after its launch.
 const ON_WAIT: Duration = ms(2500);
 const STAGE_LATEST: Duration = ms(9000);
@@ -700,6 +702,11 @@
             self.halved = cx.now;
             self.halve();
         }
+        if cx.now >= self.renewed + RENEW {
+            self.renewed = cx.now;
+            self.books.iter_mut().flat_map(|b| &mut b.methods).for_each(|l| l.paid.add(l.paid, -0.5));
+            self.past.iter_mut().for_each(|l| l.paid.add(l.paid, -0.5));
+        }
         let (mut pairs, nodes) = self.own_pairs(cx);
         let (new_first, starved) = (index(pairs[0][0]) >= index(pairs[0][1]), self.strain.since.is_some());
         cx.put(FRONT, Note::Favour { newest: self.newest, new_first, starved });
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -556,6 +556,7 @@
     /// When a node last came or went.
     pub stirred: Duration,
     pub halved: Duration,
+    pub renewed: Duration,
     pub told: Duration,
     /// Whether the build got nothing when peers were last told.
     pub said: bool,
