--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -39,7 +39,7 @@
 const EASED: f64 = 0.02;
 const WHOLE: f64 = 0.85;
 /// The test by abstention: how long the build gets nothing, the first part not counted, and then is watched.
-const ABSTAIN: [Duration; 3] = [ms(7000), ms(1500), ms(5000)];
+const ABSTAIN: [Duration; 3] = [ms(4000), ms(1500), ms(5000)];
 /// Peers' counts are told this often, and say nothing when older than the second figure.
 const TELL: [Duration; 2] = [ms(1000), ms(3200)];
 /// The most marshals that tell one another directly, and so many log their votes: more would say the same.
@@ -552,21 +552,19 @@
                 self.since = Some(now);
                 self.off.fill(Tally::default());
             }
-            (Some(since), _) if now >= since + ABSTAIN[1] => {
-                // Recovery by much counts: other troubles ease by themselves, and by less. A backlog takes its
-                // time to drain, so the test ends with the recovery, or with its longest time.
-                let relief = off.n >= LEAST_SAMPLE && eased && off.mean() > on.mean() + 0.4 * (CALM - on.mean());
-                if relief || now >= since + ABSTAIN[0] {
-                    self.relieved = relief.then_some(now);
-                    (self.level, self.cleared) = (on.mean(), (!relief).then_some(trial));
-                    self.since = None;
-                    self.lately.fill(Tally::default());
-                }
+            (Some(since), _) if now >= since + ABSTAIN[0] => {
+                // Recovery by more than half counts: other troubles ease by themselves, and by less.
+                let relief = eased && off.mean() > on.mean() + 0.4 * (CALM - on.mean());
+                self.relieved = relief.then_some(now);
+                (self.level, self.cleared) = (on.mean(), (!relief).then_some(trial));
+                self.since = None;
+                self.lately.fill(Tally::default());
             }
             _ => {}
         }
-        let fading = if self.since.is_none() { &mut self.lately } else { &mut self.off };
-        fading.iter_mut().for_each(|t| t.add(*t, -0.05));
+        if self.since.is_none() {
+            self.lately.iter_mut().for_each(|t| t.add(*t, -0.05));
+        }
         // Where no test can be made, holding the build teaches nothing.
         (strained && apart || self.since.is_some() || self.relieved.is_some(), false)
     }
