--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -47,6 +47,8 @@
 const SERVED_OVER: f64 = 3.0; // Seconds that the served rate is averaged over.
 /// Repeats of picks that may have run: earned per RPC taken, and the most in store.
 const RETRIES: [f64; 2] = [0.2, 20.0];
+/// An RPC that errs at so many nodes is bad itself; the repeat that showed it costs nothing.
+const BAD: usize = 2;
 /// The part of the soft deadline that an answer is taken to need before any has come.
 const FIRST_GUESS: f64 = 1.0 / 6.0;
 /// A pick that times out before this part of the soft deadline was cut short by its client.
@@ -288,7 +290,7 @@
                         self.usual[r.method] += 0.05 * (took.as_secs_f64() - self.usual[r.method]);
                     }
                     if let Some(p) = r.picks.get_mut(pick) {
-                        (p.out, p.never_ran) = (false, outcome.never_ran());
+                        (p.out, p.never_ran, p.erred) = (false, outcome.never_ran(), outcome == Outcome::Error);
                     }
                     r.burnt |= build == self.newest;
                     if done {
@@ -394,7 +396,16 @@
     /// failing nodes or an overload are not answered with a storm of repeats.
     fn again(&mut self, rpc: RpcIx, never_ran: bool, cx: &mut Cx) {
         let (r, spent) = (&self.rpcs[&rpc], if never_ran { 0.0 } else { 1.0 });
-        let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent;
+        let erred: Vec<&Pick> = r.picks.iter().filter(|p| p.erred).collect();
+        let bad = erred.len() >= BAD;
+        if bad || (erred.len() == 1 && self.retries < spent && cx.law.repeatable(r.method)) {
+            // It errs anywhere, or no repeat may show whether it does: that says nothing of node and build.
+            let (Pick { entry, at, .. }, method) = (erred[0], r.method);
+            cx.put(JUDGE, Note::Excused { entry: *entry, method, at: *at });
+            self.retries = (self.retries + f64::from(u8::from(bad))).min(RETRIES[1]);
+        }
+        let r = &self.rpcs[&rpc];
+        let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent && !bad;
         if in_time && self.cards.iter().any(|c| self.gate.may_repeat(cx, r, &c.entry)) {
             self.retries -= spent;
             self.serve(rpc, cx);
@@ -488,7 +499,7 @@
         let repeatable = duty.repeat != Repeat::NonIdempotent && self.retries >= 1.0;
         let leave_room = repeatable && r.picks.is_empty() && early < 0.8 * duty.soft;
         let within = if leave_room { secs(early).min(left) } else { left };
-        r.picks.push(Pick { entry, at: cx.now, out: true, never_ran: false });
+        r.picks.push(Pick { entry, at: cx.now, out: true, never_ran: false, erred: false });
         let (node, pick, method) = (entry.node, r.picks.len() - 1, r.method);
         cx.out.push(Action::Pick { rpc, node, within });
         cx.put(NODES + node, Note::Sent { rpc, pick, method });
@@ -599,6 +610,13 @@
                     }
                 }
             }
+            Note::Excused { entry, method, at } => {
+                let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
+                let young = entry.started.is_some_and(|start| at < start + YOUNG);
+                if let Some(book) = self.books.get_mut(entry.node).filter(same) {
+                    book.methods[method].excuse(young);
+                }
+            }
             Note::Told(Event::Disputed { node, method, age }) => {
                 if let Some(book) = self.books.get_mut(node).filter(|b| cx.age(&b.entry) > age) {
                     book.methods[method].dispute();
@@ -678,7 +696,8 @@
     /// Questions to both arms: payoff, soundness by method, pace, strain; and how many nodes are on trial.
     fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
         let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()], false);
-        let old = match self.alone() {
+        let alone = self.alone();
+        let old = match alone {
             true => self.before.clone(),
             false => self.arm(false, self.past.clone(), nodes < 4).0,
         };
@@ -688,7 +707,10 @@
         pairs.extend((0..count).map(strain));
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
             join(&mut pairs[0], &[n.paid, o.paid]);
-            join(&mut pairs[1 + i % count], &[n.sound, o.sound]);
+            // Alone, errors of methods that are not repeated may be those of bad RPCs, and nothing tells.
+            if !alone || cx.law.repeatable(i % count) {
+                join(&mut pairs[1 + i % count], &[n.sound, o.sound]);
+            }
             if let Some(edge) = o.edge(CALM, LEAST_SAMPLE) {
                 join(&mut pairs[count + 1], &[n.upto(edge), o.upto(edge)]);
             }
@@ -698,6 +720,7 @@
 
     fn look(&mut self, cx: &mut Cx) {
         self.looked = cx.now;
+
         if cx.now >= self.halved + HALVE {
             self.halved = cx.now;
             self.halve();
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// An RPC that erred may be sent again.
+    pub fn repeatable(&self, method: usize) -> bool {
+        self.duties[method].repeat != Repeat::NonIdempotent
+    }
+
     /// From this age on a node needs no budget.
     pub fn warm(&self, age: Duration) -> bool {
         age >= self.warming + self.fall_window
@@ -157,6 +162,7 @@
     Listed(NodeEntry),
     Sent { rpc: RpcIx, pick: usize, method: usize },
     Card(Card),
+    Excused { entry: NodeEntry, method: usize, at: Duration },
     Booked { entry: NodeEntry, method: usize, at: Duration, outcome: Outcome, took: f64 },
     Favour { newest: Build, new_first: bool, starved: bool },
     Pump,
@@ -306,6 +312,7 @@
     pub at: Duration,
     pub out: bool,
     pub never_ran: bool,
+    pub erred: bool,
 }
 
 #[derive(Default)]
@@ -352,6 +359,11 @@
     pub fn upto(&self, edge: usize) -> Tally {
         Tally { n: self.times.iter().sum(), good: self.times[..=edge].iter().sum() }
     }
+    /// An error was not the node's, nor its build's. `young`: it did not count for payoff.
+    pub fn excuse(&mut self, young: bool) {
+        self.sound.n = (self.sound.n - 1.0).max(self.sound.good);
+        self.paid.n = if young { self.paid.n } else { (self.paid.n - 1.0).max(self.paid.good) };
+    }
     /// An answer was found wrong.
     pub fn dispute(&mut self) {
         self.paid.good = (self.paid.good - 1.0).max(0.0);
