Keys have a home node, one of the two choices, where nodes keep keys warm

The module gets the node's address as a number, so that all marshals agree on a key's node; the design's two choices stay, one of them drawn by the key. Terms: warm_keys, default false, which leaves the choice as it was.

--- a/crates/benchlink/src/facts.rs
+++ b/crates/benchlink/src/facts.rs
@@ -138,6 +138,7 @@
         methods,
         tenants,
         over_share_utility: p.number_or_zero("over_share_worth")?,
+        warm_keys: p.flag("family_info.warm_keys")?,
         kinds: p.words("models").len(),
         release: release(&p)?,
         rules: RuleTerms {
--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -177,6 +177,7 @@
         };
         Ok(NodeEntry {
             node: self.node(row.addr),
+            name: row.addr.iter().fold(0, |name, byte| name << 8 | u64::from(*byte)),
             kind: row.kind.into(),
             power: row.power.into(),
             cell: row.cell.into(),
--- a/crates/marshal/src/directory.rs
+++ b/crates/marshal/src/directory.rs
@@ -135,8 +135,14 @@
             let known = self.entries.get(&node).and_then(|e| e.started).filter(|_| at > now);
             known.unwrap_or(at.min(now))
         });
+        let addr = self.addrs[node];
+        let ip = match addr.ip() {
+            std::net::IpAddr::V4(ip) => u64::from(ip.to_bits()),
+            std::net::IpAddr::V6(ip) => (ip.to_bits() >> 64 ^ ip.to_bits()) as u64,
+        };
         NodeEntry {
             node,
+            name: ip << 16 | u64::from(addr.port()),
             kind: position(&self.kinds, &one.kind).unwrap_or(0),
             power: one.power,
             cell: one.cell.into(),
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -65,6 +65,8 @@
 const FAIR: f64 = 2.0;
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
 const HEAD_START: f64 = 0.2;
+/// What a key's own node may cost beside another, as a part.
+const AT_HOME: f64 = 0.75;
 const SPARE: f64 = 1.5; // Usual times before the soft deadline at which an RPC is given up.
 
 /// ε of the design for `n` outcomes of variance `var`, at confidence `delta`.
@@ -464,6 +466,14 @@
                     tries.map(|i| &self.cards[list[i]]).find(fits)
                 };
                 let cost = |c: &Card| (c.in_flight + 1) as f64 * self.pace(c, cx);
+                // Where nodes work less for a key that they met lately, all marshals agree on its node: one of the
+                // two choices, and the better one unless it is clearly busier. Harms where one key is most of all.
+                let home = |key: u64| list.iter().max_by_key(|n| chance(key, self.cards[**n].entry.name));
+                let home = r.key.filter(|_| cx.law.warm_keys).and_then(home).map(|&n| &self.cards[n]);
+                if let Some((a, b)) = home.filter(fits).and_then(|a| Some((a, draw(0)?))) {
+                    let entry = if cost(b) < AT_HOME * cost(a) { b.entry } else { a.entry };
+                    return Some((charged.unwrap_or(arm), due, entry));
+                }
                 if let Some((a, b)) = draw(0).and_then(|a| Some((a, draw(4)?))) {
                     let entry = if cost(b) < cost(a) { b.entry } else { a.entry };
                     return Some((charged.unwrap_or(arm), due, entry));
--- a/crates/policy/src/port.rs
+++ b/crates/policy/src/port.rs
@@ -124,6 +124,8 @@
     pub methods: Vec<MethodTerms>,
     pub tenants: Vec<TenantTerms>,
     pub over_share_utility: f64,
+    /// A node works less for a key that it met lately.
+    pub warm_keys: bool,
     pub kinds: usize,
     pub release: ReleaseTerms,
     pub rules: RuleTerms,
@@ -141,6 +143,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NodeEntry {
     pub node: NodeIx,
+    /// The same at every marshal, from the node's address; no order or place can be read from it.
+    pub name: u64,
     pub kind: usize,
     pub power: f64,
     pub cell: usize,
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -61,6 +61,7 @@
     /// The last stage, where the earlier machines stay until the release.
     pub rehearse: Option<usize>,
     pub kinds: usize,
+    pub warm_keys: bool,
     pub ask_pause: Option<f64>,
     /// The longest silence towards discovery without a subscription.
     pub ask_within: Duration,
@@ -124,6 +125,7 @@
             peers: limits.peers,
             rehearse: release.shares.len().checked_sub(1).filter(|_| !release.in_place),
             kinds: terms.kinds.max(1),
+            warm_keys: terms.warm_keys,
             ask_pause: terms.ask_discovery.then(|| 1.0 + terms.marshal as f64 / marshals),
             ask_within: if rules.ask_within.is_zero() { Duration::MAX } else { rules.ask_within },
             seed: terms.seed,
--- a/crates/policy/tests/marshal/world.rs
+++ b/crates/policy/tests/marshal/world.rs
@@ -35,6 +35,7 @@
         ],
         tenants: vec![],
         over_share_utility: 0.0,
+        warm_keys: false,
         kinds: 1,
         release: ReleaseTerms {
             control: Control::Votes,
@@ -152,6 +153,7 @@
 
     pub fn list(&mut self, node: NodeIx, build: Build, readiness: Readiness, started: Option<Duration>) {
         let entry = NodeEntry {
+            name: node as u64,
             node,
             kind: 0,
             power: 1.0,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -164,6 +164,7 @@
         methods: method_terms,
         tenants: tenant_terms,
         over_share_utility: top.number("over_share_utility", Some(1.0), 0.0..=1.0),
+        warm_keys: top.flag("warm_keys", Some(false)),
         kinds: kinds.len(),
         release,
         rules,
