A running marshal takes new terms by SIGHUP, both ways by the same step

Core::renew merges names (known methods, kinds and zones keep their indices), keeps RPCs in hand, accounts, health and evidence; a method left out is taken no longer and its RPCs end as they would have. Faults and what cannot change (marshal.number, listen, own peer address, workers) leave the running terms in force and are logged. List and desk that move are followed at once.

--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -194,7 +194,7 @@
                 Some(Ok(left)) => Some(left.saturating_sub(began.elapsed())),
                 Some(Err(why)) => return self.refuse(Refusal { status: 400, why }),
             };
-            let by = began + self.edge.bounds.slow_client;
+            let by = began + self.edge.bounds().slow_client;
             let rest =
                 Rest { walk, by, held: body.len() as u64, taken: 0, waited: Duration::ZERO, stopped: None };
             match self.serve(request, body, rest, left, keep) {
@@ -220,7 +220,7 @@
 
     /// The next head, and when its first byte came.
     fn head(&mut self) -> Result<(Request, Instant), Unread> {
-        let bounds = &self.edge.bounds;
+        let bounds = self.edge.bounds();
         let mut by = Instant::now() + bounds.idle_client;
         let mut began = None;
         loop {
@@ -251,7 +251,7 @@
 
     /// Reads the body as far as it is held; what is left of it stays with the walk.
     fn body(&mut self, request: &Request, began: Instant) -> Result<(Vec<u8>, Walk), Unread> {
-        let bounds = &self.edge.bounds;
+        let bounds = self.edge.bounds();
         if matches!(request.framing, Framing::Length(n) if n > bounds.longest_body) {
             return Err(Unread::Refused(TOO_LONG));
         }
@@ -344,7 +344,8 @@
                         break false;
                     }
                     *client.pick.lock().unwrap() = (pick, None, false);
-                    let run = Pick { node, within, careful, connect: edge.bounds.connect, pool: &edge.pool };
+                    let run =
+                        Pick { node, within, careful, connect: edge.bounds().connect, pool: &edge.pool };
                     let (socket, buf, rest) = (&mut self.socket, &mut self.buf, &mut rest);
                     let mut passage =
                         Passage { edge, socket, buf, rest, id, pick, go_on, orders: vec![], passing: false };
@@ -469,7 +470,7 @@
                         self.drawn(Duration::ZERO);
                     }
                     self.rest.taken += n as u64;
-                    if self.rest.held + self.rest.taken > self.edge.bounds.longest_body {
+                    if self.rest.held + self.rest.taken > self.edge.bounds().longest_body {
                         return self.stop(Unread::Refused(TOO_LONG));
                     }
                     break Drawn::Data(self.buf.drain(..n).collect());
--- a/crates/edge/src/command.rs
+++ b/crates/edge/src/command.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 /// A marshal: takes RPCs, picks a node and a build for each, votes on builds.
@@ -34,6 +34,22 @@
     let _ = tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).try_init();
 }
 
+/// Reads the file of terms again and puts it in force; what is wrong with it is logged, and the running terms stay.
+fn renew(running: &crate::Running, file: &std::path::Path) {
+    let name = file.display().to_string();
+    let read = || {
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: cannot be read: {e}"))?;
+        let terms = ivydrift_terms::read(&name, &text).map_err(|complaints| complaints.to_string())?;
+        running.renew(terms).map_err(|why| format!("{name}: {why}"))
+    };
+    match read() {
+        Ok(()) => tracing::info!(file = name, "new terms in force"),
+        Err(why) => {
+            why.lines().for_each(|why| tracing::error!(why, "new terms refused, the running ones stay"))
+        }
+    }
+}
+
 impl EdgeCommand {
     pub fn run(self) -> ExitCode {
         let Some(file) = self.file.filter(|_| !self.example) else {
@@ -58,7 +74,7 @@
         log_to_stderr();
         let wanted = terms.places.listen;
         // Signals are taken before the start, so that none is lost.
-        let mut signals = match Signals::new([SIGTERM, SIGINT]) {
+        let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
             Ok(signals) => signals,
             Err(e) => {
                 eprintln!("signals cannot be taken: {e}");
@@ -73,7 +89,12 @@
             }
         };
         tracing::info!(listens = %running.listens, "started");
-        let signal = signals.forever().next();
+        let signal = signals.forever().find(|signal| {
+            if *signal == SIGHUP {
+                renew(&running, &file);
+            }
+            *signal != SIGHUP
+        });
         tracing::info!(?signal, "stopping");
         let clean = running.stop();
         tracing::info!(clean, counts = ?running.counts(), "stopped");
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -43,16 +43,18 @@
     /// How many those are.
     present: AtomicUsize,
     pool: Pool,
-    bounds: Bounds,
-    places: Places,
-    vote_wait: Duration,
+    /// What new terms may change.
+    live: Mutex<Live>,
+    /// Counts how often list or desk have moved: who follows an earlier one stops.
+    moves: AtomicU64,
     number: usize,
     via: String,
     peers: Option<UdpSocket>,
     started: Instant,
     ids: AtomicU64,
     stop: AtomicBool,
-    watching: AtomicBool,
+    /// The node list is followed for this count of moves; none at `u64::MAX`.
+    watching: AtomicU64,
     /// When the process was last seen to have stood still, and when the clock coroutine last ran, in
     /// milliseconds of our time.
     stood: AtomicU64,
@@ -60,12 +62,39 @@
     complained: Mutex<Vec<ivydrift_marshal::Rejected>>,
 }
 
+#[derive(Clone)]
+struct Live {
+    bounds: Bounds,
+    places: Arc<Places>,
+    vote_wait: Duration,
+    longest: Duration,
+}
+
+impl Live {
+    fn of(terms: &Terms) -> Self {
+        Live {
+            bounds: terms.bounds,
+            places: Arc::new(terms.places.clone()),
+            vote_wait: terms.rollout.release.vote_wait,
+            longest: terms.rollout.methods.iter().map(|m| m.deadline).max().unwrap_or_default(),
+        }
+    }
+}
+
 // Std locks below guard short sections without a yield; a coroutine never waits while it holds one.
 impl Edge {
     fn now(&self) -> Duration {
         BEFORE + self.started.elapsed()
     }
 
+    fn live(&self) -> Live {
+        self.live.lock().unwrap().clone()
+    }
+
+    fn bounds(&self) -> Bounds {
+        self.live.lock().unwrap().bounds
+    }
+
     fn next_id(&self) -> Id {
         self.ids.fetch_add(1, Ordering::Relaxed) + 1
     }
@@ -113,7 +142,7 @@
                 }
                 Order::CloseIdle { node } => self.pool.close(node),
                 Order::Tell { to, datagram } => {
-                    if let (Some(socket), Some(addr)) = (&self.peers, self.places.peers.get(to)) {
+                    if let (Some(socket), Some(addr)) = (&self.peers, self.live().places.peers.get(to)) {
                         // Loss does no harm, waiting would.
                         let _ = socket.inner().send_to(&datagram, addr);
                     }
@@ -136,7 +165,7 @@
     /// Enters a client connection; false where there are too many.
     fn enter(&self, name: u64, client: &Arc<Client>) -> bool {
         let mut clients = self.clients.lock().unwrap();
-        let room = clients.len() < self.bounds.clients;
+        let room = clients.len() < self.bounds().clients;
         if room {
             clients.insert(name, client.clone());
             self.present.store(clients.len(), Ordering::Relaxed);
@@ -147,7 +176,7 @@
     /// Over how many milliseconds the clients should come back if this marshal goes: clients cannot know how many
     /// others there are. None where all could come at once.
     fn spread_ms(&self) -> Option<u64> {
-        let ms = self.present.load(Ordering::Relaxed) as u64 * 1000 / self.bounds.handshakes as u64;
+        let ms = self.present.load(Ordering::Relaxed) as u64 * 1000 / self.bounds().handshakes as u64;
         Some(ms).filter(|&ms| ms >= 250)
     }
 
@@ -196,7 +225,6 @@
 pub struct Running {
     edge: Arc<Edge>,
     pub listens: SocketAddr,
-    longest: Duration,
 }
 
 /// Starts a marshal by its terms. The runtime's workers are set by the first that starts in a process.
@@ -213,22 +241,20 @@
     };
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let zero_ms = unix.saturating_sub(BEFORE).as_millis() as u64;
-    let longest = terms.rollout.methods.iter().map(|m| m.deadline).max().unwrap_or_default();
     let edge = Arc::new(Edge {
         inhand: Mutex::default(),
         clients: Mutex::default(),
         present: AtomicUsize::new(0),
         pool: Pool::new(terms.bounds.idle_to_node, terms.rollout.limits.idle_kept),
-        bounds: terms.bounds,
-        places: terms.places.clone(),
-        vote_wait: terms.rollout.release.vote_wait,
+        live: Mutex::new(Live::of(&terms)),
+        moves: AtomicU64::new(0),
         number: terms.rollout.marshal,
         via: format!("1.1 ivydrift-{}", terms.rollout.marshal),
         peers,
         started: Instant::now(),
         ids: AtomicU64::new(0),
         stop: AtomicBool::new(false),
-        watching: AtomicBool::new(false),
+        watching: AtomicU64::new(u64::MAX),
         stood: AtomicU64::new(0),
         ticked: AtomicU64::new(0),
         complained: Mutex::default(),
@@ -239,7 +265,7 @@
     hear_peers(&edge);
     let accepting = edge.clone();
     go(move || clients::accept(&accepting, &listener));
-    Ok(Running { edge, listens, longest })
+    Ok(Running { edge, listens })
 }
 
 /// Wakes the core when it is due, and looks after clients and idle connections.
@@ -303,6 +329,28 @@
         self.edge.counts()
     }
 
+    /// Takes new terms without a restart; nothing in hand is lost or sent twice. List and desk that have moved are
+    /// followed at their new places from now on.
+    ///
+    /// # Errors
+    /// What cannot change in a running marshal; the earlier terms stay in force.
+    pub fn renew(&self, terms: Terms) -> Result<(), String> {
+        let (edge, new, limits) = (&self.edge, Live::of(&terms), terms.rollout.limits);
+        edge.core.lock().unwrap().renew(terms)?;
+        edge.pool.renew(new.bounds.idle_to_node, limits.idle_kept);
+        // An RPC taken under the earlier terms may need its longer deadline.
+        let old = edge.live();
+        let longest = old.longest.max(new.longest);
+        *edge.live.lock().unwrap() = Live { longest, ..new.clone() };
+        let list = |p: &Places| (p.node_list, p.service.clone());
+        if list(&old.places) != list(&new.places) || old.places.release_desk != new.places.release_desk {
+            edge.moves.fetch_add(1, Ordering::AcqRel);
+            news::follow_desk(edge);
+            news::watch(edge);
+        }
+        Ok(())
+    }
+
     /// How many nodes are known to be ready.
     pub fn nodes(&self) -> usize {
         self.edge.core.lock().unwrap().ready()
@@ -314,7 +362,7 @@
         self.edge.stop.store(true, Ordering::Release);
         // An accept in progress wakes by a connection.
         let _ = std::net::TcpStream::connect_timeout(&self.listens, Duration::from_millis(200));
-        let by = Instant::now() + self.longest + Duration::from_millis(200);
+        let by = Instant::now() + self.edge.live().longest + Duration::from_millis(200);
         while Instant::now() < by {
             let (held, open) = (self.edge.counts().held, self.edge.clients.lock().unwrap().len());
             if held == 0 && open == 0 {
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -72,15 +72,20 @@
 
 /// Follows the node list until it fails; the module then says when to ask again.
 pub fn watch(edge: &Arc<Edge>) {
-    if edge.watching.swap(true, Ordering::AcqRel) {
+    let moves = edge.moves.load(Ordering::Acquire);
+    if edge.watching.swap(moves, Ordering::AcqRel) == moves {
         return;
     }
     let edge = edge.clone();
     go(move || {
-        let (mut asker, mut index) = (Asker::new(edge.places.node_list, edge.number), 0);
+        let places = edge.live().places;
+        let (mut asker, mut index) = (Asker::new(places.node_list, edge.number), 0);
         loop {
-            let path = list::path(&edge.places.service, index, LIST_WAIT.as_secs());
+            let path = list::path(&places.service, index, LIST_WAIT.as_secs());
             let answer = asker.ask("GET", &path, b"", list::LIST_BYTES, LIST_WAIT + SLACK);
+            if edge.moves.load(Ordering::Acquire) != moves {
+                return; // The list has moved, and is followed there.
+            }
             let read = answer.map_err(|e| e.to_string()).and_then(|(at, body)| Ok((at, list::read(&body)?)));
             match read {
                 Ok((at, nodes)) => {
@@ -102,20 +107,25 @@
                 break;
             }
         }
-        edge.watching.store(false, Ordering::Release);
+        let _ = edge.watching.compare_exchange(moves, u64::MAX, Ordering::AcqRel, Ordering::Acquire);
         edge.tell(Input::ListLost, 0);
     });
 }
 
-/// Follows the release desk for ever.
+/// Follows the release desk until it moves.
 pub fn follow_desk(edge: &Arc<Edge>) {
     let edge = edge.clone();
     go(move || {
-        let (mut asker, mut index, mut failures) = (Asker::new(edge.places.release_desk, edge.number), 0, 0);
+        let moves = edge.moves.load(Ordering::Acquire);
+        let desk = edge.live().places.release_desk;
+        let (mut asker, mut index, mut failures) = (Asker::new(desk, edge.number), 0, 0);
         while !edge.stopping() {
             let path =
                 format!("/v1/stage?index={index}&wait={}s&marshal={}", DESK_WAIT.as_secs(), edge.number);
             let answer = asker.ask("GET", &path, b"", desk::NEWS_BYTES, DESK_WAIT + SLACK);
+            if edge.moves.load(Ordering::Acquire) != moves {
+                return; // The desk has moved, and is followed there.
+            }
             match answer.map_err(|e| e.to_string()).and_then(|(_, body)| desk::read_news(&body)) {
                 Ok(news) => {
                     failures = 0;
@@ -139,8 +149,9 @@
     let edge = edge.clone();
     go(move || {
         let body = ivydrift_wire::desk::write(&vote);
-        let mut asker = Asker::new(edge.places.release_desk, edge.number);
-        let answer = asker.ask("POST", "/v1/votes", &body, desk::NEWS_BYTES, edge.vote_wait);
+        let live = edge.live();
+        let mut asker = Asker::new(live.places.release_desk, edge.number);
+        let answer = asker.ask("POST", "/v1/votes", &body, desk::NEWS_BYTES, live.vote_wait);
         let ballot = match answer {
             Ok((_, body)) => match desk::read_vote_answer(&body) {
                 Ok(answer) => Ballot::Answered(answer),
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -15,15 +16,27 @@
 type Stack = Vec<(Instant, Socket)>;
 
 pub struct Pool {
-    most: usize,
-    kept: Duration,
+    most: AtomicUsize,
+    kept_ms: AtomicU64,
     idle: Mutex<HashMap<SocketAddr, Stack>>,
 }
 
 // The std lock is never held across a yield: nothing under it blocks.
 impl Pool {
     pub fn new(most: usize, kept: Duration) -> Self {
-        Pool { most, kept, idle: Mutex::default() }
+        let pool = Pool { most: AtomicUsize::new(0), kept_ms: AtomicU64::new(0), idle: Mutex::default() };
+        pool.renew(most, kept);
+        pool
+    }
+
+    /// New bounds; what is over them goes when it is next looked at.
+    pub fn renew(&self, most: usize, kept: Duration) {
+        self.most.store(most, Ordering::Relaxed);
+        self.kept_ms.store(kept.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    fn kept(&self) -> Duration {
+        Duration::from_millis(self.kept_ms.load(Ordering::Relaxed))
     }
 
     /// A connection that looks alive, the latest used first.
@@ -31,7 +44,7 @@
         loop {
             let (at, socket) = self.idle.lock().unwrap().get_mut(&node)?.pop()?;
             let rested = at.elapsed();
-            if socket.quiet() && rested < self.kept {
+            if socket.quiet() && rested < self.kept() {
                 if careful && rested >= FRESH {
                     self.put_back(node, at, socket);
                     return None;
@@ -48,7 +61,7 @@
     pub fn put(&self, node: SocketAddr, socket: Socket) {
         let mut idle = self.idle.lock().unwrap();
         let stack = idle.entry(node).or_default();
-        if stack.len() < self.most {
+        if stack.len() < self.most.load(Ordering::Relaxed) {
             stack.push((Instant::now(), socket));
         }
     }
@@ -62,7 +75,7 @@
     pub fn tidy(&self, all: bool) {
         let mut idle = self.idle.lock().unwrap();
         idle.retain(|_, stack| {
-            stack.retain(|(at, socket)| !all && at.elapsed() < self.kept && socket.quiet());
+            stack.retain(|(at, socket)| !all && at.elapsed() < self.kept() && socket.quiet());
             !stack.is_empty()
         });
     }
--- a/crates/edge/tests/hard/machine.rs
+++ b/crates/edge/tests/hard/machine.rs
@@ -15,7 +15,7 @@
 struct Process {
     child: Child,
     listens: std::net::SocketAddr,
-    _file: std::path::PathBuf,
+    file: std::path::PathBuf,
 }
 
 impl Process {
@@ -33,7 +33,7 @@
             .spawn()
             .unwrap();
         wait_for("the marshal's start", ms(5000), || std::net::TcpStream::connect(listens).is_ok());
-        Process { child, listens, _file: file }
+        Process { child, listens, file }
     }
 
     fn signal(&self, signal: Signal) {
@@ -74,7 +74,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self._file);
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
@@ -206,7 +206,7 @@
 fn a_second_marshal_on_the_same_address_does_not_start() {
     let fine = good("fine");
     let marshal = Process::start("first", &town(&[fine.addr]), None);
-    let second = Command::new(BINARY).arg(&marshal._file).output().unwrap();
+    let second = Command::new(BINARY).arg(&marshal.file).output().unwrap();
     assert_eq!(second.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&second.stderr).contains("cannot be had"));
 }
@@ -307,3 +307,50 @@
     assert!(fine > 60, "{fine} ok in two seconds of {} answers in all", seen.len());
     assert!(late < early + 1024, "{early} KiB grew to {late}");
 }
+
+/// The move of a running marshal to another fleet and back, by its file and a signal: an RPC that is out stays
+/// where it is, each RPC is sent once, and terms with a fault leave the running ones in force.
+#[test]
+fn new_terms_come_into_force_by_a_signal_both_ways_and_nothing_is_lost_or_sent_twice() {
+    let slow = node(Box::new(|_, s| {
+        std::thread::sleep(ms(700));
+        ok(s, "first fleet")
+    }));
+    let quick = good("second fleet");
+    let (first, second) = (town(&[slow.addr]), town(&[quick.addr]));
+    let marshal = Process::start("renewed", &first, None);
+    let at = [("127.0.0.1:0", &*marshal.listens.to_string())];
+    let before = terms(&first, &at);
+    let after = terms(&second, &at).replace("\"pickup-book\"", "\"relay-book\"") + "\nwarm_keys = true\n";
+    let call = |method: &str| {
+        let mut stream = connect(marshal.listens);
+        say(&mut stream, &message(method, "grpc-timeout: 2500m\r\n", "x"));
+        stream
+    };
+    let said = |mut stream: std::net::TcpStream| answer(&mut stream).expect("an answer");
+    let renew = |text: &str| {
+        std::fs::write(&marshal.file, text).unwrap();
+        marshal.signal(Signal::SIGHUP);
+    };
+    wait_for("the first fleet", ms(4000), || said(call("calendar-read")).kind() == "ok");
+    for round in 1..=2 {
+        let (old, new) = (slow.messages(), quick.messages());
+        // An RPC that must not run twice is out while the terms change that no longer name its method.
+        let out = call("pickup-book");
+        wait_for("the RPC at its node", ms(2000), || slow.messages() == old + 1);
+        renew(&after.replace("deadline = \"3s\"", "deadline = 3"));
+        std::thread::sleep(ms(100));
+        assert_eq!(said(call("relay-book")).status, 404, "terms with a fault came into force");
+        renew(&after);
+        wait_for("the second fleet", ms(4000), || said(call("relay-book")).body == "second fleet");
+        let kept = said(out);
+        assert_eq!((kept.kind(), &*kept.body), ("ok", "first fleet"), "round {round}");
+        assert_eq!(said(call("pickup-book")).status, 404);
+        let asked = quick.messages() - new;
+        (0..5).for_each(|_| assert_eq!(said(call("calendar-read")).body, "second fleet"));
+        assert_eq!((slow.messages(), quick.messages()), (old + 1, new + asked + 5), "sent twice");
+        renew(&before);
+        wait_for("the way back", ms(4000), || said(call("pickup-book")).body == "first fleet");
+        assert_eq!(said(call("relay-book")).status, 404);
+    }
+}
--- a/crates/marshal/src/directory.rs
+++ b/crates/marshal/src/directory.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Zones and kinds by new names; those known keep their places.
+    pub fn rename(&mut self, zones: &[String], kinds: &[String]) {
+        (self.zones, self.kinds) = (zones.to_vec(), kinds.to_vec());
+    }
+
     pub fn addr(&self, node: NodeIx) -> Option<SocketAddr> {
         self.addrs.get(node).copied()
     }
--- a/crates/marshal/tests/core.rs
+++ b/crates/marshal/tests/core.rs
@@ -478,3 +478,42 @@
         }
     }
 }
+
+#[test]
+fn new_terms_keep_what_is_in_hand_and_the_accounts_and_name_what_cannot_change() {
+    let read = |text: &str| ivydrift_terms::read("new.hcl", text).unwrap();
+    let example = ivydrift_terms::EXAMPLE;
+    let moved = example.replace("\"pickup-book\"", "\"relay-book\"").replace("\"calendar\"", "\"relay\"")
+        + "\nwarm_keys = true\n";
+    let mut bed = Bed::new();
+    for (round, id) in (0..4).zip((10..).step_by(10)) {
+        bed.rpc(id, "pickup-book", 2000);
+        bed.rpc(id + 1, "calendar-read", 2000);
+        bed.core.renew(read(&moved)).unwrap();
+        // What was taken under the earlier terms ends as it would have, once.
+        bed.now += ms(40);
+        bed.end(id, 0, OK);
+        bed.end(id + 1, 0, FULL);
+        bed.end(id + 1, 1, OK);
+        assert_eq!((bed.answers(id), bed.answers(id + 1)), (vec!["ok"], vec!["ok"]), "round {round}");
+        assert_eq!((bed.picks(id), bed.picks(id + 1)), (1, 2));
+        // What is new is taken, at the same nodes; what is left out is not.
+        bed.rpc(id + 2, "relay-book", 2000);
+        bed.rpc(id + 3, "pickup-book", 2000);
+        assert_eq!((bed.picks(id + 2), bed.answers(id + 3)), (1, vec!["rejected"]));
+        bed.core.renew(read(example)).unwrap();
+        bed.now += ms(40);
+        bed.end(id + 2, 0, OK);
+        bed.rpc(id + 4, "relay-book", 2000);
+        assert_eq!((bed.answers(id + 2), bed.answers(id + 4)), (vec!["ok"], vec!["rejected"]));
+    }
+    assert_eq!(bed.core.counts().held, 0);
+    for (from, to, word) in [
+        ("number = 0\n  of = 1", "number = 1\n  of = 2", "marshal.number"),
+        ("listen = \"127.0.0.1:7100\"", "listen = \"127.0.0.1:7101\"", "places.listen"),
+    ] {
+        let why = bed.core.renew(read(&moved.replace(from, to))).unwrap_err();
+        assert!(why.contains(word) && why.contains("start another"), "{why}");
+        assert_eq!(bed.rpc(1000, "relay-book", 2000).len(), 1, "refused terms came into force");
+    }
+}
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -63,6 +63,8 @@
 const CROWDED: [f64; 3] = [0.25, 0.25, 24.0];
 /// Own picks in flight always allowed for each unit of power in this marshal's part of the fleet.
 const FAIR: f64 = 2.0;
+/// Keys that met the newest build are kept up to so many, once no earlier node is left.
+const MOST_KEYS: usize = 1 << 20;
 /// How much earlier an RPC of mean utility ranks among those that wait, in seconds.
 const HEAD_START: f64 = 0.2;
 /// What a key's own node may cost beside another, as a part.
@@ -217,8 +219,10 @@
         if cap <= 0.0 || (stage < rule.guarded && duty.repeat != Repeat::Idempotent) {
             return false;
         }
-        let used = recent(self.sent.get(&(entry.build, duty.slot)), cx.now, rule.window + BEAT);
-        let taken = recent(self.taken.get(&duty.slot), cx.now, rule.window.saturating_sub(BEAT));
+        let counted = || (0..cx.law.duties.len()).filter(|m| cx.law.duties[*m].slot == duty.slot);
+        let (late, early) = (rule.window + BEAT, rule.window.saturating_sub(BEAT));
+        let used: f64 = counted().map(|m| recent(self.sent.get(&(entry.build, m)), cx.now, late)).sum();
+        let taken: f64 = counted().map(|m| recent(self.taken.get(&m), cx.now, early)).sum();
         used + 1.0 <= rule.free + cap * taken
     }
 
@@ -253,7 +257,7 @@
             }
             Note::Told(Event::Rpc { rpc, method, key, left, .. }) => {
                 let duty = &cx.law.duties[method];
-                self.gate.taken.entry(duty.slot).or_default().push_back(cx.now);
+                self.gate.taken.entry(method).or_default().push_back(cx.now);
                 self.pulse[0] += 1.0;
                 self.retries = (self.retries + RETRIES[0]).min(RETRIES[1]);
                 let (soft, until) = (cx.now + secs(duty.soft).min(left), cx.now + left);
@@ -280,7 +284,8 @@
                 }
                 if outcome == Outcome::Ok && cx.law.exposure.one_way {
                     let left = self.gate.left.get(&rpc).copied();
-                    let sent = self.rpcs.get(&rpc).and_then(|r| Some((r.key?, r.picks.get(pick)?.entry.build)));
+                    let sent =
+                        self.rpcs.get(&rpc).and_then(|r| Some((r.key?, r.picks.get(pick)?.entry.build)));
                     left.or(sent).into_iter().for_each(|(key, sent)| self.gate.cross(key, sent.max(build)));
                 }
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
@@ -292,7 +297,8 @@
                         self.usual[r.method] += 0.05 * (took.as_secs_f64() - self.usual[r.method]);
                     }
                     if let Some(p) = r.picks.get_mut(pick) {
-                        (p.out, p.never_ran, p.erred) = (false, outcome.never_ran(), outcome == Outcome::Error);
+                        (p.out, p.never_ran, p.erred) =
+                            (false, outcome.never_ran(), outcome == Outcome::Error);
                     }
                     r.burnt |= build == self.newest;
                     if done {
@@ -331,6 +337,10 @@
                     self.gate.served += step / SERVED_OVER * (self.oks / step / power - self.gate.served);
                 }
                 (self.oks, self.counted, self.stale) = (0.0, cx.now, true);
+                let over = self.gate.news.is_some_and(|n| n.course == Course::Released);
+                if over && self.arms[0].is_empty() && self.gate.crossed.len() > MOST_KEYS {
+                    self.gate.crossed.clear(); // No earlier node is left that a key could go back to.
+                }
                 self.pulse = self.pulse.map(|x| x * (1.0 - step / KEPT[2]));
                 self.pulse[1] += step;
                 let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * LOOK;
@@ -713,7 +723,8 @@
         };
         let count = cx.law.duties.len();
         let mut pairs = vec![Pair::default(); count + 2];
-        let strain = |m| [&self.strain.off, &self.strain.lately].map(|t| t.get(m).copied().unwrap_or_default());
+        let strain =
+            |m| [&self.strain.off, &self.strain.lately].map(|t| t.get(m).copied().unwrap_or_default());
         pairs.extend((0..count).map(strain));
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
             join(&mut pairs[0], &[n.paid, o.paid]);
@@ -828,7 +839,10 @@
         if self.cast.is_none_or(|(cast, ..)| cast != wish) && teller {
             let why = found.or(worse(0.4)).map_or(String::new(), |q| {
                 let (p, ..) = asked.get(q).copied().unwrap_or((payoff, 0.0, 0.0));
-                format!(", question {q}: {:.0}/{:.0} beside {:.0}/{:.0}", p[0].good, p[0].n, p[1].good, p[1].n)
+                format!(
+                    ", question {q}: {:.0}/{:.0} beside {:.0}/{:.0}",
+                    p[0].good, p[0].n, p[1].good, p[1].n
+                )
             });
             cx.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}{why}")));
         }
@@ -869,6 +883,12 @@
     }
 }
 
+/// Rings of rings: as few levels as let each marshal tell few others, at any number of marshals.
+fn rings(law: &Charter) -> (usize, u32) {
+    let levels = ((law.marshals.ln() / (RING as f64).ln()).ceil()).max(1.0);
+    ((law.marshals.powf(1.0 / levels) + 1e-6) as usize, levels as u32)
+}
+
 pub struct Marshal {
     cx: Cx,
     nodes: Vec<Node>,
@@ -883,15 +903,22 @@
         let law = Charter::new(terms);
         let usual = law.duties.iter().map(|d| FIRST_GUESS * d.soft).collect();
         let front = Front { usual, new_first: true, retries: RETRIES[1], room: f64::MAX, ..Front::default() };
-        let past = vec![Ledger::default(); law.kinds * law.duties.len()];
-        // Rings of rings: as few levels as let each marshal tell few others, at any number of marshals.
-        let levels = ((law.marshals.ln() / (RING as f64).ln()).ceil()).max(1.0);
-        let ring = (law.marshals.powf(1.0 / levels) + 1e-6) as usize;
-        let judge = Judge { before: past.clone(), past, ring, levels: levels as u32, ..Judge::default() };
+        let mut judge = Judge::default();
+        judge.lay_out(&law, rings(&law));
         let (nodes, scout, beat_at) = (Vec::new(), Scout::default(), Duration::ZERO);
         Marshal { cx: Cx::new(law), nodes, front, judge, scout, beat_at }
     }
 
+    /// Takes new terms between two calls of `handle`. Methods and kinds keep their places, new ones come after
+    /// the old; RPCs in hand, accounts of the rules, health and evidence all stay.
+    pub fn renew(&mut self, terms: &RolloutTerms) {
+        self.cx.law = Charter::new(terms);
+        let soft = self.cx.law.duties.iter().map(|d| FIRST_GUESS * d.soft);
+        self.front.usual.extend(soft.skip(self.front.usual.len()));
+        self.front.stale = true;
+        self.judge.lay_out(&self.cx.law, rings(&self.cx.law));
+    }
+
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         self.cx.now = now;
         for event in events {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -444,6 +444,7 @@
 #[derive(Default)]
 pub struct Gate {
     pub news: Option<News>,
+    /// RPCs taken by method, and picks by build and method.
     pub taken: BTreeMap<usize, Times>,
     pub sent: BTreeMap<(Build, usize), Times>,
     pub cold_sent: BTreeMap<NodeIx, Times>,
@@ -458,8 +459,7 @@
 impl Gate {
     /// Books a send, whatever the build's standing: it may be told to be on trial a moment later.
     pub fn book(&mut self, cx: &Cx, method: usize, entry: &NodeEntry) {
-        let slot = cx.law.duties[method].slot;
-        self.sent.entry((entry.build, slot)).or_default().push_back(cx.now);
+        self.sent.entry((entry.build, method)).or_default().push_back(cx.now);
         self.cold_sent.entry(entry.node).or_default().push_back(cx.now);
     }
     /// Times before this are no longer asked for.
@@ -561,6 +561,8 @@
     pub heard: BTreeMap<(u32, usize), (Duration, Build, Vec<Pair>)>,
     pub ring: usize,
     pub levels: u32,
+    /// Methods that the records are laid out for.
+    pub count: usize,
     pub sums: Pair,
     /// The last vote, when it was sent, and whether it is known to count.
     pub cast: Option<((Verdict, usize, Build), Duration, bool)>,
@@ -578,6 +580,21 @@
 }
 
 impl Judge {
+    /// Makes room for the methods and kinds that there are now; those known keep their places and records.
+    pub fn lay_out(&mut self, law: &Charter, (ring, levels): (usize, u32)) {
+        let (count, known) = (law.duties.len(), self.count.max(1));
+        for sums in [&mut self.past, &mut self.before] {
+            let mut fresh = vec![Ledger::default(); law.kinds * count];
+            for (i, ledger) in sums.iter().enumerate().filter(|(i, _)| i / known < law.kinds) {
+                fresh[i / known * count + i % known] = *ledger;
+            }
+            *sums = fresh;
+        }
+        self.books.iter_mut().for_each(|b| b.methods.resize(count, Ledger::default()));
+        (self.count, self.ring, self.levels) = (count, ring, levels);
+        self.heard.clear(); // Peers may count other methods, or stand elsewhere in the rings.
+    }
+
     /// Files a node as it shows itself now.
     pub fn listed(&mut self, card: &Card, cx: &Cx) {
         if self.books.len() <= card.entry.node {
--- a/crates/policy/tests/marshal/rules.rs
+++ b/crates/policy/tests/marshal/rules.rs
@@ -36,6 +36,7 @@
         9 => w.step(vec![Event::Peer { from: 1, text: a.to_le_bytes().repeat((a % 5) as usize) }]),
         10 => w.step(vec![Event::Disputed { node, method: (a % 3) as usize, age: ms(a % 4000) }]),
         11 => w.step(vec![Event::ClientLeft { rpc: 1_000_000 }]),
+        15 => w.marshal.renew(&w.terms),
         12 => w.whole(|node| a >> (node % 32) & 1 == 0),
         13 => (100..100 + a as usize % 80).for_each(|n| w.list(n, newest, Readiness::Ready, None)),
         // Peers' counts cut short, absurd, of another build, level or length, or from nobody.
@@ -132,3 +133,23 @@
         assert!(picks <= most, "{picks} picks in a second, {most} at the most");
     }
 }
+
+/// Exposure is counted through new terms: what was sent under the earlier ones counts under the new.
+#[test]
+fn rules_hold_while_terms_change_between_two_ways_of_counting() {
+    let mut t = terms();
+    t.release.one_way = true;
+    runs(t.clone());
+    let mut w = World::new(t.clone(), 8);
+    w.seed(3);
+    for round in 0..40u64 {
+        w.list(7, 2, Readiness::Ready, Some(ms(90_000)));
+        w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+        w.run(ms(300), 200);
+        // The stricter way is asked for and the laxer one, in turn; the world checks the laxer throughout.
+        let mut new = t.clone();
+        new.release.by_method = round % 2 == 0;
+        new.methods.extend((round >= 20).then(|| new.methods[0].clone()));
+        w.marshal.renew(&new);
+    }
+}
