Small tests for the defences of the move, each shown to fail without its line

Checked by taking out: max of a key's builds, the key of a client that left, delta by votes, bad RPCs taken back, first picks only, split of cold and warm, home nodes, the pool of methods. Not yet shown by a test of their own: nothing owed after abstention, payoff halved every 2 s, the test's wait for the stage's machines.

--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -308,3 +308,122 @@
     let lately = w.sends.iter().filter(|s| s.0 > w.now - ms(2000)).count();
     assert!((8..=40).contains(&lately), "{lately} picks in 2 s");
 }
+
+/// A key's answers of the newer build and of the earlier one cross in flight, and a client leaves before its answer:
+/// the key has met the newer build all the same (ulaanbaatar-farm overload, relay-jakarta rough-1).
+#[test]
+fn a_key_that_met_the_newer_build_stays_there_though_an_earlier_answer_comes_later() {
+    let mut t = terms();
+    t.release.one_way = true;
+    let mut w = World::new(t, 4);
+    w.keys = 60;
+    w.behave = Box::new(|e, _, _, die| (Outcome::Ok, ms(if e.build == 1 { 100 + die % 300 } else { 40 })));
+    w.run(ms(3000), 60);
+    w.tell(2, 1, Course::OnTrial, 0.7, VoteReply::Unasked);
+    (4..8).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now - ms(6000))));
+    for _ in 0..200 {
+        w.run(ms(60), 60);
+        w.leave();
+    }
+    assert!(w.sends.iter().any(|s| s.1.build == 2));
+}
+
+/// Where one vote of many marshals is enough, evidence must be surer (ulaanbaatar-farm big-1).
+#[test]
+fn one_of_many_marshals_is_surer_before_it_sends_a_build_back_alone() {
+    let found = |marshals| {
+        let mut t = terms();
+        (t.marshals, t.limits.peers) = (marshals, false);
+        let mut w = World::new(t, 8);
+        w.run(ms(6000), 100);
+        w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+        (8..10).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+        w.behave = Box::new(|e, _, _, die| match e.build == 2 && die % 3 == 0 {
+            true => (Outcome::Error, ms(20)),
+            false => (Outcome::Ok, ms(60)),
+        });
+        w.run(ms(12_000), 100);
+        w.votes.iter().find(|v| v.1 == Verdict::Back).map(|v| v.0)
+    };
+    assert!(found(1).unwrap() < found(400).unwrap());
+}
+
+/// RPCs that err at any node say nothing of a build, also when no earlier one stands beside it
+/// (ulaanbaatar-farm, fresh days 3286355413).
+#[test]
+fn bad_rpcs_do_not_send_a_released_build_back() {
+    let mut w = on_trial(8);
+    w.run(ms(7000), 100);
+    w.tell(2, 2, Course::Released, 1.0, VoteReply::Unasked);
+    (0..8).for_each(|n| w.list(n, 1, Readiness::Gone, None));
+    w.terms.methods.truncate(1); // Of the idempotent method from now on.
+    w.bad = 35;
+    w.run(ms(10_000), 100);
+    assert!(!w.voted(Verdict::Back), "{:?}", w.votes);
+}
+
+/// Cold nodes have budgets that few of many marshals hold; their part must not go to the few warm nodes of the arm
+/// (ulaanbaatar-farm big-1, big-2).
+#[test]
+fn the_warm_nodes_of_an_arm_do_not_get_the_part_of_its_cold_ones() {
+    let mut old_and_warm = [0.0, 0.0];
+    for marshal in 0..40 {
+        let mut t = terms();
+        (t.marshal, t.marshals, t.seed) = (marshal, 40, 500 + marshal as u64);
+        (t.release.caps, t.rules.fall_multiple) = (vec![1.0; 3], 2.0);
+        let mut w = World::new(t, 20);
+        w.seed(900 + marshal as u64);
+        w.run(ms(6000), 10);
+        w.tell(2, 1, Course::OnTrial, 1.0, VoteReply::Unasked);
+        (20..22).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now - ms(9000))));
+        w.run(ms(8000), 10);
+        let begin = w.now;
+        (22..42).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+        w.run(ms(4000), 10);
+        let since = |warm: bool| {
+            w.sends.iter().filter(move |s| s.0 > begin && s.1.node < 22 && (s.1.node >= 20) == warm)
+        };
+        old_and_warm[0] += since(false).count() as f64 / 20.0;
+        old_and_warm[1] += since(true).count() as f64 / 2.0;
+    }
+    let [old, warm] = old_and_warm;
+    assert!(
+        (0.6..1.7).contains(&(warm / old)),
+        "{warm} picks at a warm node of the arm, {old} at an older node"
+    );
+}
+
+/// Where nodes keep keys warm, marshals agree on a key's node without a word.
+#[test]
+fn all_marshals_send_a_key_to_the_same_node_while_it_is_not_busier() {
+    let homes = |seed: u64, warm_keys| {
+        let mut t = terms();
+        (t.seed, t.warm_keys) = (seed, warm_keys);
+        let mut w = World::new(t, 12);
+        w.keys = 1;
+        w.run(ms(12_000), 5);
+        let mut counts = [0; 12];
+        w.sends.iter().for_each(|s| counts[s.1.node] += 1);
+        let most = (0..12).max_by_key(|n| counts[*n]).unwrap();
+        (most, counts[most] as f64 / w.sends.len() as f64)
+    };
+    let [a, b] = [homes(1, true), homes(2, true)];
+    assert!(a.0 == b.0 && a.1 > 0.7 && b.1 > 0.7, "{a:?} {b:?}");
+    assert!(homes(1, false).1 < 0.4);
+}
+
+/// One slow method is no sign that a build slows every node (relay-jakarta, slow_class).
+#[test]
+fn one_slow_method_starts_no_test_by_abstention() {
+    let mut t = terms();
+    t.methods.truncate(2);
+    let mut w = World::new(t, 8);
+    w.run(ms(6000), 100);
+    w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+    (8..11).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+    w.behave = Box::new(|_, method, _, _| (Outcome::Ok, ms(if method == 1 { 400 } else { 60 })));
+    w.run(ms(12_000), 100);
+    let times: Vec<_> = w.sends.iter().filter(|s| s.1.build == 2).map(|s| s.0).collect();
+    let gap = times.windows(2).map(|t| t[1] - t[0]).max().unwrap();
+    assert!(gap < ms(2500) && !w.voted(Verdict::Back), "{gap:?}");
+}
--- a/crates/policy/tests/marshal/rules.rs
+++ b/crates/policy/tests/marshal/rules.rs
@@ -37,6 +37,7 @@
         10 => w.step(vec![Event::Disputed { node, method: (a % 3) as usize, age: ms(a % 4000) }]),
         11 => w.step(vec![Event::ClientLeft { rpc: 1_000_000 }]),
         15 => w.marshal.renew(&w.terms),
+        16 => (0..1 + a % 3).for_each(|_| w.leave()),
         12 => w.whole(|node| a >> (node % 32) & 1 == 0),
         13 => (100..100 + a as usize % 80).for_each(|n| w.list(n, newest, Readiness::Ready, None)),
         // Peers' counts cut short, absurd, of another build, level or length, or from nobody.
@@ -58,6 +59,7 @@
             let mut w = World::new(terms.clone(), 8);
             w.seed(seed);
             w.behave = Box::new(anyhow);
+            w.keys = 40;
             w.run(ms(500), 100);
             steps.into_iter().for_each(|(op, a)| disturb(&mut w, op, a));
             w.run(ms(3000), 0);
@@ -79,6 +81,13 @@
     runs(t);
 }
 
+#[test]
+fn rules_hold_with_keys_that_go_one_way() {
+    let mut t = terms();
+    t.release.one_way = true;
+    runs(t);
+}
+
 #[test]
 fn rules_hold_under_a_clock() {
     let mut t = terms();
@@ -139,7 +148,6 @@
 fn rules_hold_while_terms_change_between_two_ways_of_counting() {
     let mut t = terms();
     t.release.one_way = true;
-    runs(t.clone());
     let mut w = World::new(t.clone(), 8);
     w.seed(3);
     for round in 0..40u64 {
--- a/crates/policy/tests/marshal/world.rs
+++ b/crates/policy/tests/marshal/world.rs
@@ -82,10 +82,14 @@
     ends: Duration,
     outcome: Outcome,
     took: Duration,
+    key: Option<u64>,
 }
 
 struct Owed {
     method: usize,
+    key: Option<u64>,
+    /// It errs at any node.
+    bad: bool,
     until: Duration,
     /// Each pick: when sent, and how it ended.
     picks: Vec<(Duration, Option<Outcome>)>,
@@ -113,6 +117,12 @@
     stage: Option<(Build, usize, Course, f64)>,
     next: RpcIx,
     die: u64,
+    /// RPCs carry one of so many keys; none where 0.
+    pub keys: u64,
+    /// So many RPCs in 100 err at any node.
+    pub bad: u64,
+    /// The newest build that answered a key, by what this world saw.
+    crossed: BTreeMap<u64, Build>,
 }
 
 impl World {
@@ -136,6 +146,9 @@
             stage: None,
             next: 0,
             die: 1,
+            keys: 0,
+            bad: 0,
+            crossed: BTreeMap::new(),
         };
         world.tell(1, 2, Course::Released, 1.0, VoteReply::Unasked);
         (0..nodes).for_each(|n| world.list(n, 1, Readiness::Ready, None));
@@ -178,6 +191,9 @@
     pub fn tell(&mut self, build: Build, stage: usize, course: Course, cap: f64, reply: VoteReply) {
         if matches!(reply, VoteReply::Unasked | VoteReply::Counts) {
             self.stage = Some((build, stage, course, cap));
+            if matches!(course, Course::GoingBack | Course::Withdrawn) {
+                self.crossed.retain(|_, met| *met != build);
+            }
         }
         self.step(vec![Event::Stage { build, stage, course, reply, cap, age: ms(0) }]);
     }
@@ -185,9 +201,11 @@
     pub fn offer(&mut self, method: usize) {
         let (rpc, left) = (self.next, ms(1000 + 500 * (method as u64 % 3)));
         self.next += 1;
-        self.owed.insert(rpc, Owed { method, until: self.now + left, picks: vec![] });
+        let key = (self.keys > 0).then(|| 1 + self.roll() % self.keys);
+        let bad = self.bad > 0 && self.roll() % 100 < self.bad;
+        self.owed.insert(rpc, Owed { method, key, bad, until: self.now + left, picks: vec![] });
         self.taken.push((self.now, method));
-        let (tenant, key, work) = (None, None, None);
+        let (tenant, work) = (None, None);
         self.step(vec![Event::Rpc { rpc, method, tenant, key, left, work, repeated: false }]);
     }
 
@@ -214,7 +232,11 @@
         let (due, out): (Vec<_>, Vec<_>) = self.out.drain(..).partition(|s| s.ends <= now);
         self.out = out;
         for sent in due {
-            let Sent { rpc, pick, entry, outcome, took, .. } = sent;
+            let Sent { rpc, pick, entry, outcome, took, key, .. } = sent;
+            if let Some(key) = key.filter(|_| outcome == Outcome::Ok) {
+                let met = self.crossed.entry(key).or_default();
+                *met = entry.build.max(*met);
+            }
             let open = self.owed.get_mut(&rpc).map(|o| o.picks[pick].1 = Some(outcome)).is_some();
             let done = !open || outcome == Outcome::Ok;
             if outcome == Outcome::Ok {
@@ -266,16 +288,19 @@
             _ => {}
         }
         assert_eq!(entry.readiness, Readiness::Ready, "rule 3: a pick at a node that drains or is gone");
-        let (method, until) = (owed.method, owed.until);
+        let (method, until, owed_key, owed_bad) = (owed.method, owed.until, owed.key, owed.bad);
         owed.picks.push((now, None));
         let pick = owed.picks.len() - 1;
         self.sends.push((now, entry, method));
         self.check_cold(&entry);
         self.check_exposure(&entry, method);
+        let (key, bad) = (owed_key, owed_bad);
+        self.check_one_way(&entry, key);
         let (outcome, took) = (self.behave)(&entry, method, now, die);
+        let (outcome, took) = if bad { (Outcome::Error, ms(20)) } else { (outcome, took) };
         let limit = within.min(until - now);
         let (outcome, took) = if took > limit { (Outcome::Timeout, limit) } else { (outcome, took) };
-        self.out.push(Sent { rpc, pick, entry, ends: now + took, outcome, took });
+        self.out.push(Sent { rpc, pick, entry, ends: now + took, outcome, took, key });
     }
 
     fn check_cold(&self, entry: &NodeEntry) {
@@ -311,6 +336,21 @@
         assert!(sent as f64 <= release.free + cap * taken as f64, "rule 5: {sent} picks of {taken} RPCs");
     }
 
+    fn check_one_way(&self, entry: &NodeEntry, key: Option<u64>) {
+        let Some((build, _, Course::OnTrial | Course::Released, _)) = self.stage else { return };
+        let met = key.and_then(|key| self.crossed.get(&key)).filter(|_| self.terms.release.one_way);
+        assert!(met != Some(&build) || entry.build >= build, "rule 5: a key went back to an earlier build");
+    }
+
+    /// The client of the latest RPC that is out leaves; its pick goes on.
+    pub fn leave(&mut self) {
+        let out = self.out.iter().rev().map(|s| s.rpc).find(|rpc| self.owed.contains_key(rpc));
+        if let Some(rpc) = out {
+            self.owed.remove(&rpc);
+            self.step(vec![Event::ClientLeft { rpc }]);
+        }
+    }
+
     pub fn voted(&self, verdict: Verdict) -> bool {
         self.votes.iter().any(|v| v.1 == verdict)
     }
