--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -449,8 +449,8 @@
         let first = usize::from(self.new_first && !r.burnt && !self.starved); // Repeats: older first.
         let mut arms = [first, 1 - first];
         arms.sort_by_key(|&arm| !within[arm]);
-        // Cold nodes have budgets: the arm's picks are split between them and the warm ones by what each can do,
-        // or the marshals without budget would send the cold ones' part to the few warm.
+        // Cold nodes have budgets: the arm's picks are split between them and the warm ones by what each can
+        // do, or the marshals without budget would send the cold ones' part to the few warm.
         let split = [0, 1].map(|arm: usize| {
             let part = self.cold[arm] / self.weights[arm].max(1e-9);
             usize::from(chance(cx.law.seed, self.draws + 8) as f64 / u64::MAX as f64 >= part)
@@ -476,8 +476,8 @@
                     tries.map(|i| &self.cards[list[i]]).find(fits)
                 };
                 let cost = |c: &Card| (c.in_flight + 1) as f64 * self.pace(c, cx);
-                // Where nodes work less for a key that they met lately, all marshals agree on its node: one of the
-                // two choices, and the better one unless it is clearly busier. Harms where one key is most of all.
+                // Where nodes work less for a key that they met lately, all marshals agree on its node: one
+                // of the two choices, and taken unless clearly busier. Harms where one key is most of all.
                 let home = |key: u64| list.iter().max_by_key(|n| chance(key, self.cards[**n].entry.name));
                 let home = r.key.filter(|_| cx.law.warm_keys).and_then(home).map(|&n| &self.cards[n]);
                 if let Some((a, b)) = home.filter(fits).and_then(|a| Some((a, draw(0)?))) {
@@ -564,7 +564,8 @@
     ) -> (bool, bool) {
         let calm = Tally { n: 1000.0, good: 1000.0 * CALM };
         let (var, joined) = (CALM * (1.0 - CALM), std::mem::take(&mut self.joined));
-        let strained = below(on, calm, STRAINED, 0.5, var, DELTA); // Pooled: alone, a marshal may see too little.
+        // Pooled: alone, a marshal may see too little.
+        let strained = below(on, calm, STRAINED, 0.5, var, DELTA);
         if strained && nodes == 0 {
             self.cleared = Some(trial); // Slowed before the build had any node here.
         }
@@ -909,8 +910,8 @@
         Marshal { cx: Cx::new(law), nodes, front, judge, scout, beat_at }
     }
 
-    /// Takes new terms between two calls of `handle`. Methods and kinds keep their places, new ones come after
-    /// the old; RPCs in hand, accounts of the rules, health and evidence all stay.
+    /// Takes new terms between two calls of `handle`. Methods and kinds keep their places, new ones come
+    /// after the old; RPCs in hand, accounts of the rules, health and evidence all stay.
     pub fn renew(&mut self, terms: &RolloutTerms) {
         self.cx.law = Charter::new(terms);
         let soft = self.cx.law.duties.iter().map(|d| FIRST_GUESS * d.soft);
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -427,3 +427,20 @@
     let gap = times.windows(2).map(|t| t[1] - t[0]).max().unwrap();
     assert!(gap < ms(2500) && !w.voted(Verdict::Back), "{gap:?}");
 }
+
+/// An RPC that is given up on is not sat on: its answer leaves in the step in which its last pick ended.
+#[test]
+fn an_rpc_that_is_given_up_on_is_answered_at_once_with_a_time_to_return_where_it_may() {
+    for (method, picks, pushed_back) in [(0, 2, true), (1, 2, true), (2, 1, false)] {
+        let mut w = World::new(terms(), 8);
+        w.run(ms(2000), 50);
+        (0..10).for_each(|_| w.pass());
+        w.bad = 100; // It errs at any node, after 20 ms.
+        let (sent, answers) = (w.sends.len(), w.pushed_back.len());
+        w.offer(method);
+        (0..picks).for_each(|_| w.pass());
+        assert_eq!((w.owing(), w.sends.len() - sent), (0, picks), "method {method}");
+        assert_eq!(w.pushed_back.len() - answers, usize::from(pushed_back));
+        assert!(!pushed_back || w.pushed_back.last().unwrap().is_some(), "no time to return");
+    }
+}
--- a/crates/policy/tests/marshal/world.rs
+++ b/crates/policy/tests/marshal/world.rs
@@ -351,6 +351,11 @@
         }
     }
 
+    /// RPCs without a final answer.
+    pub fn owing(&self) -> usize {
+        self.owed.len()
+    }
+
     pub fn voted(&self, verdict: Verdict) -> bool {
         self.votes.iter().any(|v| v.1 == verdict)
     }
