--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -444,3 +444,30 @@
         assert!(!pushed_back || w.pushed_back.last().unwrap().is_some(), "no time to return");
     }
 }
+
+/// A build that gets nothing for the test by abstention is owed nothing after it: many marshals would make it good all
+/// at once (ulaanbaatar-farm big-1, 250 picks in a second for three nodes).
+#[test]
+fn nothing_is_owed_to_a_build_after_the_test_by_abstention() {
+    let mut w = on_trial(2);
+    in_step(&mut w);
+    w.run(ms(14_000), 100);
+    let times: Vec<_> = w.sends.iter().filter(|s| s.1.build == 2).map(|s| s.0).collect();
+    let gap = times.windows(2).find(|t| t[1] - t[0] > ms(3000)).expect("a test by abstention");
+    let burst = times.iter().filter(|t| **t >= gap[1] && **t < gap[1] + ms(200)).count();
+    assert!(burst <= 4, "{burst} picks within 0.2 s of the build's return");
+}
+
+/// Before a stage's machines run the test would clear the stage at an earlier one's traffic
+/// (ulaanbaatar-farm bb12).
+#[test]
+fn the_test_by_abstention_waits_for_the_stage_s_machines() {
+    let mut w = on_trial(2);
+    w.run(ms(2000), 100);
+    w.tell(2, 1, Course::OnTrial, 0.7, VoteReply::Unasked); // Two more are due, and not there yet.
+    in_step(&mut w);
+    w.run(ms(5000), 100);
+    let times: Vec<_> = w.sends.iter().filter(|s| s.1.build == 2).map(|s| s.0).collect();
+    let gap = times.windows(2).map(|t| t[1] - t[0]).max().unwrap().max(w.now - *times.last().unwrap());
+    assert!(gap < ms(1500), "it abstained after {gap:?}");
+}
