Tidying on rereading: one pair of choices, one test of a book's process, one trial builder

Front::choose had its comparison twice; the judge asked twice, word by word, whether a book is of the process that a note names, and whether it was young; two cases built a trial that on_trial builds.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -82,6 +82,11 @@
     t.mean() + if t.n < LEAST_SAMPLE { f64::INFINITY } else { ALPHA * width(t.n, 0.25, DELTA) }
 }
 
+/// What was sent to a node then counts for no payoff.
+fn young(entry: &NodeEntry, at: Duration) -> bool {
+    entry.started.is_some_and(|start| at < start + YOUNG)
+}
+
 /// Arm `a` lies below `b` by more than the margin and the given part of both widths. σ² is what outcomes
 /// would have if the new build paid as the older one does, plus one outcome's doubt.
 fn below(a: Tally, b: Tally, margin: f64, part: f64, spread: f64, delta: f64) -> bool {
@@ -416,7 +421,6 @@
             cx.put(JUDGE, Note::Excused { entry: *entry, method, at: *at });
             self.retries = (self.retries + f64::from(u8::from(bad))).min(RETRIES[1]);
         }
-        let r = &self.rpcs[&rpc];
         let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent && !bad;
         if in_time && self.cards.iter().any(|c| self.gate.may_repeat(cx, r, &c.entry)) {
             self.retries -= spent;
@@ -480,12 +484,12 @@
                 // of the two choices, and taken unless clearly busier. Harms where one key is most of all.
                 let home = |key: u64| list.iter().max_by_key(|n| chance(key, self.cards[**n].entry.name));
                 let home = r.key.filter(|_| cx.law.warm_keys).and_then(home).map(|&n| &self.cards[n]);
-                if let Some((a, b)) = home.filter(fits).and_then(|a| Some((a, draw(0)?))) {
-                    let entry = if cost(b) < AT_HOME * cost(a) { b.entry } else { a.entry };
-                    return Some((charged.unwrap_or(arm), due, entry));
-                }
-                if let Some((a, b)) = draw(0).and_then(|a| Some((a, draw(4)?))) {
-                    let entry = if cost(b) < cost(a) { b.entry } else { a.entry };
+                let (a, b, part) = match home.filter(fits) {
+                    Some(home) => (Some(home), draw(0), AT_HOME),
+                    None => (draw(0), draw(4), 1.0),
+                };
+                if let (Some(a), Some(b)) = (a, b) {
+                    let entry = if cost(b) < part * cost(a) { b.entry } else { a.entry };
                     return Some((charged.unwrap_or(arm), due, entry));
                 }
                 // What cold nodes cannot take is not saved up for warm ones.
@@ -610,15 +614,13 @@
                 self.newer(if card.ready { card.entry.build } else { 0 });
             }
             Note::Booked { entry, method, at, outcome, took } => {
-                let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
-                let Some(book) = self.books.get_mut(entry.node).filter(same) else { return };
+                let Some(book) = self.books.get_mut(entry.node).filter(|b| b.is(&entry)) else { return };
                 let (soft, ok) = (cx.law.duties[method].soft, outcome == Outcome::Ok);
                 let (ledger, kind) = (&mut book.methods[method], book.entry.kind);
                 if matches!(outcome, Outcome::Ok | Outcome::Error) {
                     ledger.sound.add(Tally::one(ok), 1.0);
                 }
-                let young = entry.started.is_some_and(|start| at < start + YOUNG);
-                if !young && !outcome.never_ran() && outcome != Outcome::Cancelled {
+                if !young(&entry, at) && !outcome.never_ran() && outcome != Outcome::Cancelled {
                     ledger.paid.add(Tally::one(ok && took <= soft), 1.0);
                     let bin = bin(took / soft);
                     ledger.times[bin] += Tally::one(ok).good;
@@ -632,10 +634,8 @@
                 }
             }
             Note::Excused { entry, method, at } => {
-                let same = |b: &&mut Book| (b.entry.build, b.entry.started) == (entry.build, entry.started);
-                let young = entry.started.is_some_and(|start| at < start + YOUNG);
-                if let Some(book) = self.books.get_mut(entry.node).filter(same) {
-                    book.methods[method].excuse(young);
+                if let Some(book) = self.books.get_mut(entry.node).filter(|b| b.is(&entry)) {
+                    book.methods[method].excuse(young(&entry, at));
                 }
             }
             Note::Told(Event::Disputed { node, method, age }) => {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -392,6 +392,10 @@
 }
 
 impl Book {
+    /// Of the process that this entry names, not of an earlier or later one under its index.
+    pub fn is(&self, entry: &NodeEntry) -> bool {
+        (self.entry.build, self.entry.started) == (entry.build, entry.started)
+    }
     pub fn faults(&self) -> f64 {
         self.methods.iter().map(Ledger::faults).sum()
     }
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -5,7 +5,11 @@
 
 /// Eight warm nodes of build 1 that have served for a while, then `trial` nodes of build 2 in stage 0.
 fn on_trial(trial: usize) -> World {
-    let mut w = World::new(terms(), 8);
+    on_trial_by(terms(), trial)
+}
+
+fn on_trial_by(terms: RolloutTerms, trial: usize) -> World {
+    let mut w = World::new(terms, 8);
     w.run(ms(6000), 100);
     w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
     (8..8 + trial).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
@@ -334,10 +338,7 @@
     let found = |marshals| {
         let mut t = terms();
         (t.marshals, t.limits.peers) = (marshals, false);
-        let mut w = World::new(t, 8);
-        w.run(ms(6000), 100);
-        w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
-        (8..10).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+        let mut w = on_trial_by(t, 2);
         w.behave = Box::new(|e, _, _, die| match e.build == 2 && die % 3 == 0 {
             true => (Outcome::Error, ms(20)),
             false => (Outcome::Ok, ms(60)),
@@ -417,10 +418,7 @@
 fn one_slow_method_starts_no_test_by_abstention() {
     let mut t = terms();
     t.methods.truncate(2);
-    let mut w = World::new(t, 8);
-    w.run(ms(6000), 100);
-    w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
-    (8..11).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+    let mut w = on_trial_by(t, 3);
     w.behave = Box::new(|_, method, _, _| (Outcome::Ok, ms(if method == 1 { 400 } else { 60 })));
     w.run(ms(12_000), 100);
     let times: Vec<_> = w.sends.iter().filter(|s| s.1.build == 2).map(|s| s.0).collect();
--- a/crates/policy/tests/marshal/world.rs
+++ b/crates/policy/tests/marshal/world.rs
@@ -288,13 +288,12 @@
             _ => {}
         }
         assert_eq!(entry.readiness, Readiness::Ready, "rule 3: a pick at a node that drains or is gone");
-        let (method, until, owed_key, owed_bad) = (owed.method, owed.until, owed.key, owed.bad);
+        let (method, until, key, bad) = (owed.method, owed.until, owed.key, owed.bad);
         owed.picks.push((now, None));
         let pick = owed.picks.len() - 1;
         self.sends.push((now, entry, method));
         self.check_cold(&entry);
         self.check_exposure(&entry, method);
-        let (key, bad) = (owed_key, owed_bad);
         self.check_one_way(&entry, key);
         let (outcome, took) = (self.behave)(&entry, method, now, die);
         let (outcome, took) = if bad { (Outcome::Error, ms(20)) } else { (outcome, took) };
