Only a first pick's error is taken back, as only that was booked

Found on rereading: where the first pick timed out and two later ones erred, an error was taken back that had never been counted. No small test shows it: the counts are not to be seen from outside.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -413,14 +413,14 @@
     /// failing nodes or an overload are not answered with a storm of repeats.
     fn again(&mut self, rpc: RpcIx, never_ran: bool, cx: &mut Cx) {
         let (r, spent) = (&self.rpcs[&rpc], if never_ran { 0.0 } else { 1.0 });
-        let erred: Vec<&Pick> = r.picks.iter().filter(|p| p.erred).collect();
-        let bad = erred.len() >= BAD;
-        if bad || (erred.len() == 1 && self.retries < spent && cx.law.repeatable(r.method)) {
-            // It errs anywhere, or no repeat may show whether it does: that says nothing of node and build.
-            let (Pick { entry, at, .. }, method) = (erred[0], r.method);
-            cx.put(JUDGE, Note::Excused { entry: *entry, method, at: *at });
-            self.retries = (self.retries + f64::from(u8::from(bad))).min(RETRIES[1]);
-        }
+        let bad = r.picks.iter().filter(|p| p.erred).count() >= BAD;
+        // It errs anywhere, or no repeat may show whether it does: that says nothing of node and build. Only a
+        // first pick was booked.
+        let doubted = bad || (self.retries < spent && cx.law.repeatable(r.method));
+        if let Some(&Pick { entry, at, .. }) = r.picks.first().filter(|p| p.erred && doubted) {
+            cx.put(JUDGE, Note::Excused { entry, method: r.method, at });
+        }
+        self.retries = (self.retries + f64::from(u8::from(bad))).min(RETRIES[1]);
         let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent && !bad;
         if in_time && self.cards.iter().any(|c| self.gate.may_repeat(cx, r, &c.entry)) {
             self.retries -= spent;
