--- a/crates/benchlink/src/codec.rs
+++ b/crates/benchlink/src/codec.rs
@@ -4,6 +4,12 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct Malformed(pub String);
 
+impl From<ivydrift_facts::Wrong> for Malformed {
+    fn from(wrong: ivydrift_facts::Wrong) -> Self {
+        Malformed(wrong.0)
+    }
+}
+
 pub type Result<T> = std::result::Result<T, Malformed>;
 
 pub fn malformed<T>(what: impl Into<String>) -> Result<T> {
--- a/crates/benchlink/src/link.rs
+++ b/crates/benchlink/src/link.rs
@@ -4,11 +4,11 @@
 use std::mem;
 use std::time::Duration;
 
+use ivydrift_facts as facts;
 use ivydrift_policy::policy::Marshal;
 use ivydrift_policy::port::*;
 
 use crate::codec::{malformed, Reader, Result, Writer};
-use crate::facts;
 
 type Addr = [u8; 6];
 
--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -7,10 +7,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use ivydrift_marshal::{Call, Id, Input, Order, Saw};
+use ivydrift_marshal::{Id, Input, Order, Saw};
 use ivydrift_wire::body::{Part, Walk};
 use ivydrift_wire::http::{self, Framing, HeadWriter, Refusal, Request};
-use ivydrift_wire::rpc;
 use may::net::TcpListener;
 use may::sync::Semphore;
 
@@ -22,6 +21,11 @@
 /// A client that takes none of its answer for this long is cut off.
 const SLOW_READER: Duration = Duration::from_secs(10);
 
+/// Where connections run out, those may be closed that have rested this long, or have sent no whole RPC for that
+/// long since they came.
+const RESTED: Duration = Duration::from_millis(2000);
+const SILENT: Duration = Duration::from_millis(250);
+
 const TOO_SLOW: Refusal = Refusal { status: 408, why: "the message took too long to arrive" };
 const TOO_LONG: Refusal =
     Refusal { status: 413, why: "the body is longer than this marshal passes on (bounds.longest_body_kib)" };
@@ -31,6 +35,11 @@
     pub look: Look,
     /// It waits for its client to speak, and may be closed at any time.
     pub idle: AtomicBool,
+    /// Its client has sent a whole RPC before.
+    pub asked: AtomicBool,
+    pub came: Instant,
+    /// When it came to rest, in milliseconds since it came.
+    rested: AtomicU64,
     /// Orders for the RPC in hand that came out of somebody else's events.
     mail: Mutex<VecDeque<Mail>>,
     wake: Semphore,
@@ -50,6 +59,9 @@
         Client {
             look,
             idle: AtomicBool::new(true),
+            asked: AtomicBool::new(false),
+            came: Instant::now(),
+            rested: AtomicU64::new(0),
             mail: Mutex::default(),
             wake: Semphore::new(0),
             pick: Mutex::default(),
@@ -57,6 +69,21 @@
         }
     }
 
+    fn rest(&self) {
+        self.rested.store(self.came.elapsed().as_millis() as u64, Ordering::Relaxed);
+        self.idle.store(true, Ordering::Release);
+    }
+
+    /// How gladly this connection is given up for another, where it may be: who never asked anything first, then
+    /// who has rested longest.
+    pub fn spare(&self) -> Option<(bool, Duration)> {
+        let asked = self.asked.load(Ordering::Acquire);
+        let rested = self.came.elapsed() - Duration::from_millis(self.rested.load(Ordering::Relaxed));
+        let least = if asked { RESTED } else { SILENT };
+        let idle = !asked || self.idle.load(Ordering::Acquire);
+        (idle && rested >= least).then_some((!asked, rested))
+    }
+
     /// Takes an order from another coroutine. Cutting off the pick in hand cannot wait for the mail.
     pub fn post(&self, order: Order) {
         if let Order::Sever { pick, .. } = order {
@@ -101,7 +128,7 @@
     let number = AtomicU64::new(0);
     loop {
         let stream = match listener.accept() {
-            _ if edge.stopping() => return,
+            _ if edge.closing() => return,
             Ok((stream, _)) => stream,
             Err(e) => {
                 // Out of descriptors, most likely: those that wait in the queue keep their place.
@@ -170,8 +197,8 @@
     /// Serves until the connection ends; true where our last answer may still be on its way.
     fn run(&mut self) -> bool {
         loop {
-            self.client.idle.store(true, Ordering::Release);
-            if self.edge.stopping() && self.buf.is_empty() {
+            self.client.rest();
+            if self.edge.closing() && self.buf.is_empty() {
                 return true;
             }
             let (request, began) = match self.head() {
@@ -188,12 +215,19 @@
             if matches!(&*request.verb, "CONNECT" | "TRACE") {
                 return self.refuse(Refusal { status: 405, why: "this method is not for RPCs" });
             }
-            let left = match request.fields.get(rpc::TIMEOUT).map(rpc::read_timeout) {
-                None => None,
+            if self.edge.dialect.asks_health(&request) {
+                let status = if self.edge.ready() > 0 { 200 } else { 503 };
+                if !self.finish(HeadWriter::response(status), "", keep) || !keep {
+                    return true;
+                }
+                continue;
+            }
+            let left = match self.edge.dialect.left(&request, &self.edge.live().methods) {
                 // The client's time has run since its first byte.
-                Some(Ok(left)) => Some(left.saturating_sub(began.elapsed())),
-                Some(Err(why)) => return self.refuse(Refusal { status: 400, why }),
+                Ok(left) => left.map(|left| left.saturating_sub(began.elapsed())),
+                Err(refusal) => return self.refuse(refusal),
             };
+            self.client.asked.store(true, Ordering::Release);
             let by = began + self.edge.bounds().slow_client;
             let rest =
                 Rest { walk, by, held: body.len() as u64, taken: 0, waited: Duration::ZERO, stopped: None };
@@ -221,7 +255,10 @@
     /// The next head, and when its first byte came.
     fn head(&mut self) -> Result<(Request, Instant), Unread> {
         let bounds = self.edge.bounds();
-        let mut by = Instant::now() + bounds.idle_client;
+        let first = bounds.first_message.filter(|_| !self.client.asked.load(Ordering::Acquire));
+        let first = first.map(|within| self.client.came + within);
+        let limit = |by: Instant| first.map_or(by, |first| by.min(first));
+        let mut by = limit(Instant::now() + bounds.idle_client);
         let mut began = None;
         loop {
             // A line break before a head is forgiven (RFC 9112, section 2.2).
@@ -231,7 +268,7 @@
             if !self.buf.is_empty() && began.is_none() {
                 self.client.idle.store(false, Ordering::Release);
                 began = Some(Instant::now());
-                by = Instant::now() + bounds.slow_client;
+                by = limit(Instant::now() + bounds.slow_client);
             }
             match http::request(&self.buf) {
                 Ok(Some((request, used))) => {
@@ -313,14 +350,7 @@
         let id = edge.next_id();
         let mut orders: VecDeque<Order> = {
             let fields = &request.fields;
-            let call = Call {
-                method: rpc::method_of(&request.target),
-                tenant: fields.get(rpc::TENANT),
-                key: fields.get(rpc::KEY).and_then(rpc::key_of),
-                tokened: fields.get(rpc::TOKEN).is_some_and(|t| !t.is_empty()),
-                left,
-                repeated: fields.get(rpc::EARLIER_TRIES).is_some_and(|n| n != "0"),
-            };
+            let call = edge.dialect.call(&request.target, fields, left);
             edge.begin(id, client, Input::Rpc { id, call }).into()
         };
         let Request { verb, target, fields, framing, .. } = request;
@@ -344,8 +374,8 @@
                         break false;
                     }
                     *client.pick.lock().unwrap() = (pick, None, false);
-                    let run =
-                        Pick { node, within, careful, connect: edge.bounds().connect, pool: &edge.pool };
+                    let (connect, pool, dialect) = (edge.bounds().connect, &edge.pool, &edge.dialect);
+                    let run = Pick { node, within, careful, connect, pool, dialect };
                     let (socket, buf, rest) = (&mut self.socket, &mut self.buf, &mut rest);
                     let mut passage =
                         Passage { edge, socket, buf, rest, id, pick, go_on, orders: vec![], passing: false };
@@ -375,23 +405,16 @@
                 }
                 Order::Pass { pick, picks, build, .. } => {
                     let Some((_, answer)) = held.take().filter(|h| h.0 == pick) else { break false };
-                    let mut bytes = answer.head_bytes(picks, build, !keep, edge.spread_ms());
+                    let mut bytes = answer.head_bytes(&edge.dialect, picks, build, !keep, edge.spread_ms());
                     bytes.extend_from_slice(&answer.body);
                     break self.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok();
                 }
                 Order::PushBack { picks, retry_after, why, .. } => {
-                    let wait = retry_after.unwrap_or_default();
-                    let mut head = said(503, rpc::Kind::PushedBack, picks, why.word());
-                    if !wait.is_zero() {
-                        head = head
-                            .field("retry-after", wait.as_secs_f64().ceil().to_string())
-                            .field(rpc::RETRY_AFTER_MS, wait.as_millis().to_string());
-                    }
+                    let head = edge.dialect.push_back(picks, retry_after, why);
                     break self.finish(head, "pushed back: try again later\n", keep);
                 }
                 Order::Abort { picks, why, .. } => {
-                    let status = if why == ivydrift_marshal::Why::TimedOut { 504 } else { 502 };
-                    let head = said(status, rpc::Kind::Aborted, picks, why.word());
+                    let head = edge.dialect.abort(picks, why);
                     break self.finish(head, "aborted: it may have run\n", keep);
                 }
                 Order::Reject { status, why, .. } => {
@@ -414,7 +437,7 @@
     fn finish(&self, head: HeadWriter, text: &str, keep: bool) -> bool {
         let mut head = head.field("content-length", text.len().to_string());
         if let Some(ms) = self.edge.spread_ms() {
-            head = head.field(rpc::SPREAD_MS, ms.to_string());
+            head = head.field(ivydrift_wire::rpc::SPREAD_MS, ms.to_string());
         }
         if !keep {
             head = head.field("connection", "close");
@@ -424,14 +447,6 @@
     }
 }
 
-fn said(status: u16, kind: rpc::Kind, picks: usize, why: &str) -> HeadWriter {
-    HeadWriter::response(status)
-        .field("content-type", "text/plain")
-        .field(rpc::ANSWER, kind.word())
-        .field(rpc::PICKS, picks.to_string())
-        .field(rpc::WHY, why)
-}
-
 /// The client's end of an RPC while a pick is out.
 struct Passage<'a> {
     edge: &'a Arc<Edge>,
@@ -499,7 +514,7 @@
             if let Order::Pass { picks, build, .. } = order {
                 self.passing = true;
                 let close = !(self.go_on && self.rest.walk.ended());
-                let head = answer.head_bytes(picks, build, close, self.edge.spread_ms());
+                let head = answer.head_bytes(&self.edge.dialect, picks, build, close, self.edge.spread_ms());
                 return self.part(&head);
             }
             self.orders.push(order);
--- a/crates/edge/src/command.rs
+++ b/crates/edge/src/command.rs
@@ -1,9 +1,10 @@
 //! The command line of a marshal, for the binary and for `ivydrift edge`.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::Parser;
+use ivydrift_platform::start;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -19,9 +20,12 @@
                   ivydrift-edge --example > edge.hcl"
 )]
 pub struct EdgeCommand {
-    /// The terms, in HCL
-    #[arg(required_unless_present = "example")]
+    /// The terms, in HCL; with --platform the platform's file, which LB_CONFIG names where this does not
+    #[arg(required_unless_present_any = ["example", "platform"])]
     file: Option<PathBuf>,
+    /// Speak the operators' platform, and be told what it tells a marshal
+    #[arg(long, conflicts_with = "example")]
+    platform: bool,
     /// Print terms that are known to be right, and end
     #[arg(long)]
     example: bool,
@@ -34,12 +38,43 @@
     let _ = tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).try_init();
 }
 
+/// The file's text as a start, in either dialect.
+enum Read {
+    Native(Box<ivydrift_terms::Terms>),
+    Platform(Box<start::Start>),
+}
+
+impl Read {
+    fn file(file: &Path, platform: bool) -> Result<Self, String> {
+        let name = file.display().to_string();
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: cannot be read: {e}"))?;
+        if platform {
+            return start::read(&name, &text).map(|start| Read::Platform(Box::new(start)));
+        }
+        let terms = ivydrift_terms::read(&name, &text).map_err(|complaints| complaints.to_string())?;
+        Ok(Read::Native(Box::new(terms)))
+    }
+
+    fn terms(self) -> ivydrift_terms::Terms {
+        match self {
+            Read::Native(terms) => *terms,
+            Read::Platform(start) => start.terms,
+        }
+    }
+
+    fn start(self) -> std::io::Result<crate::Running> {
+        match self {
+            Read::Native(terms) => crate::start(*terms),
+            Read::Platform(start) => crate::start_on_platform(*start),
+        }
+    }
+}
+
 /// Reads the file of terms again and puts it in force; what is wrong with it is logged, and the running terms stay.
-fn renew(running: &crate::Running, file: &std::path::Path) {
+fn renew(running: &crate::Running, file: &Path, platform: bool) {
     let name = file.display().to_string();
     let read = || {
-        let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: cannot be read: {e}"))?;
-        let terms = ivydrift_terms::read(&name, &text).map_err(|complaints| complaints.to_string())?;
+        let terms = Read::file(file, platform)?.terms();
         running.renew(terms).map_err(|why| format!("{name}: {why}"))
     };
     match read() {
@@ -52,27 +87,27 @@
 
 impl EdgeCommand {
     pub fn run(self) -> ExitCode {
-        let Some(file) = self.file.filter(|_| !self.example) else {
+        if self.example {
             print!("{}", ivydrift_terms::EXAMPLE);
             return ExitCode::SUCCESS;
+        }
+        let told = || std::env::var_os(start::FILE).filter(|_| self.platform).map(PathBuf::from);
+        let Some(file) = self.file.clone().or_else(told) else {
+            eprintln!("no file is named: name one, or set {} to its place.", start::FILE);
+            return ExitCode::from(2);
         };
-        let name = file.display().to_string();
-        let text = match std::fs::read_to_string(&file) {
-            Ok(text) => text,
-            Err(e) => {
-                eprintln!("{name}: cannot be read: {e}. Name a file of terms; --example prints one.");
-                return ExitCode::from(2);
-            }
-        };
-        let terms = match ivydrift_terms::read(&name, &text) {
-            Ok(terms) => terms,
-            Err(complaints) => {
-                eprintln!("{complaints}");
+        let read = match Read::file(&file, self.platform) {
+            Ok(read) => read,
+            Err(why) => {
+                eprintln!("{why}");
                 return ExitCode::from(2);
             }
         };
         log_to_stderr();
-        let wanted = terms.places.listen;
+        let wanted = match &read {
+            Read::Native(terms) => terms.places.listen,
+            Read::Platform(start) => start.terms.places.listen,
+        };
         // Signals are taken before the start, so that none is lost.
         let mut signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
             Ok(signals) => signals,
@@ -81,7 +116,7 @@
                 return ExitCode::FAILURE;
             }
         };
-        let running = match crate::start(terms) {
+        let running = match read.start() {
             Ok(running) => running,
             Err(e) => {
                 eprintln!("{wanted} or the peers' address cannot be had: {e}. Is another marshal running?");
@@ -91,7 +126,7 @@
         tracing::info!(listens = %running.listens, "started");
         let signal = signals.forever().find(|signal| {
             if *signal == SIGHUP {
-                renew(&running, &file);
+                renew(&running, &file, self.platform);
             }
             *signal != SIGHUP
         });
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -6,9 +6,9 @@
 
 use ivydrift_marshal::Saw;
 use ivydrift_wire::body::{Part, Walk};
-use ivydrift_wire::http::{self, Framing, HeadWriter, Response};
-use ivydrift_wire::{orca, rpc};
+use ivydrift_wire::http::{self, Framing, Response};
 
+use crate::dialect::Dialect;
 use crate::pool::Pool;
 use ivydrift_sockets::{Look, Socket};
 
@@ -33,18 +33,9 @@
     pub via: String,
 }
 
-/// Fields that we set ourselves, or that are between client and marshal only.
-const OURS: [&str; 7] = ["host", "via", rpc::TIMEOUT, rpc::ANSWER, rpc::PICKS, rpc::BUILD, rpc::WHY];
-const NOT_FOR_CLIENTS: [&str; 8] =
-    [orca::FIELD, rpc::ANSWER, rpc::PICKS, rpc::BUILD, rpc::WHY, rpc::NEVER_RAN, rpc::SPREAD_MS, "via"];
-
 impl Outgoing {
-    fn bytes(&self, node: SocketAddr, within: Duration) -> Vec<u8> {
-        let mut head = HeadWriter::request(&self.verb, &self.target)
-            .field("host", node.to_string())
-            .pass(&self.fields, &OURS)
-            .field(rpc::TIMEOUT, rpc::write_timeout(within))
-            .field("via", &self.via);
+    fn bytes(&self, dialect: &Dialect, node: SocketAddr, within: Duration) -> Vec<u8> {
+        let mut head = dialect.to_node(&self.verb, &self.target, &self.fields, &self.via, node, within);
         head = match self.rest {
             Some(Framing::Length(n)) => head.field("content-length", n.to_string()),
             Some(_) => head.field("transfer-encoding", "chunked"),
@@ -75,12 +66,10 @@
 
 impl Answer {
     /// The answer's head for the client, with the kind of answer and what it took.
-    pub fn head_bytes(&self, picks: usize, build: u32, close: bool, spread_ms: Option<u64>) -> Vec<u8> {
-        let mut head = HeadWriter::response(self.head.status)
-            .pass(&self.head.fields, &NOT_FOR_CLIENTS)
-            .field(rpc::ANSWER, rpc::Kind::Ok.word())
-            .field(rpc::PICKS, picks.to_string())
-            .field(rpc::BUILD, build.to_string());
+    pub fn head_bytes(
+        &self, dialect: &Dialect, picks: usize, build: u32, close: bool, spread_ms: Option<u64>,
+    ) -> Vec<u8> {
+        let mut head = dialect.ok(&self.head, picks, build);
         head = match (self.more, self.head.framing) {
             (true, Framing::Length(n)) => head.field("content-length", n.to_string()),
             (true, _) => head.field("transfer-encoding", "chunked"),
@@ -89,7 +78,7 @@
             (false, _) => head.field("content-length", self.body.len().to_string()),
         };
         if let Some(ms) = spread_ms {
-            head = head.field(rpc::SPREAD_MS, ms.to_string());
+            head = head.field(ivydrift_wire::rpc::SPREAD_MS, ms.to_string());
         }
         if close {
             head = head.field("connection", "close");
@@ -131,6 +120,7 @@
     pub careful: bool,
     pub connect: Duration,
     pub pool: &'a Pool,
+    pub dialect: &'a Dialect,
 }
 
 impl Pick<'_> {
@@ -157,10 +147,10 @@
         if left.is_zero() {
             return (Saw::NotSent, None);
         }
-        if let Err((handed, e)) = socket.write(&rpc.bytes(self.node, left), by) {
+        if let Err((handed, e)) = socket.write(&rpc.bytes(self.dialect, self.node, left), by) {
             // Not one byte was taken from us: no node can have seen any of it.
             let saw = match e.kind() {
-                _ if handed == 0 => Saw::NotSent,
+                _ if handed == 0 || self.dialect.begins_whole() => Saw::NotSent,
                 ErrorKind::TimedOut => Saw::TimedOut,
                 _ => Saw::Broken,
             };
@@ -175,7 +165,8 @@
             Upload::Late => return (Saw::TimedOut, None),
             Upload::Over => return (Saw::Severed, None),
         }
-        let mut reader = Reader { socket: &mut socket, buf: Vec::new(), by, passing: false };
+        let mut reader =
+            Reader { socket: &mut socket, dialect: self.dialect, buf: Vec::new(), by, passing: false };
         let (saw, answer) = reader.answer(&rpc.verb, caller);
         let whole = matches!(saw, Saw::Answer { .. });
         if handle.severed() && !whole {
@@ -231,6 +222,7 @@
 
 struct Reader<'a> {
     socket: &'a mut Socket,
+    dialect: &'a Dialect,
     buf: Vec<u8>,
     by: Instant,
     /// The answer passes to the client as it comes.
@@ -295,12 +287,11 @@
             Err(Stop::Saw(saw)) => return (saw, None),
             Err(Stop::Unwanted) => return (Saw::Severed, None),
         };
-        let load = head.fields.get(orca::FIELD).map(orca::Metrics::read).unwrap_or_default();
-        let saw = Saw::Answer {
-            status: head.status,
-            never_ran: head.fields.get(rpc::NEVER_RAN) == Some("1"),
-            load,
-        };
+        if self.dialect.spoilt(head.framing) {
+            return (Saw::Garbled, None);
+        }
+        let (status, never_ran, load) = self.dialect.heard(&head);
+        let saw = Saw::Answer { status, never_ran, load };
         let mut answer = Answer { head, body: Vec::new(), more: false };
         match self.body(&mut answer, saw.outcome(), caller) {
             Ok(()) => (saw, Some(answer)),
@@ -323,7 +314,11 @@
                         continue;
                     }
                     answer.body.extend_from_slice(&data);
-                    if answer.body.len() > HELD && !walk.ended() {
+                    if let Some(longest) = self.dialect.longest_answer() {
+                        if answer.body.len() > longest {
+                            return Err(Stop::Saw(Saw::Garbled));
+                        }
+                    } else if answer.body.len() > HELD && !walk.ended() {
                         if outcome != ivydrift_marshal::Outcome::Ok {
                             // A long error is of use to nobody: its status has been seen.
                             answer.head.keep_alive = false;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,9 +7,11 @@
 
 mod clients;
 pub mod command;
+mod dialect;
 
 mod exchange;
 mod news;
+mod platform;
 mod pool;
 
 use std::collections::HashMap;
@@ -19,12 +21,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use ivydrift_marshal::{Core, Counts, Id, Input, Order};
+use ivydrift_marshal::{Core, Counts, Id, Input, Order, Repeat};
+use ivydrift_platform::start::Start;
 use ivydrift_sockets::listen;
 use ivydrift_terms::{Bounds, Places, Terms};
-use may::net::UdpSocket;
+use ivydrift_wire::desk::News;
+use may::net::{TcpListener, UdpSocket};
 
 use clients::Client;
+use dialect::Dialect;
 use ivydrift_sockets::coroutine::{self, go, pause};
 use pool::Pool;
 
@@ -36,6 +41,7 @@
 const STALL: Duration = Duration::from_millis(300);
 
 pub struct Edge {
+    dialect: Dialect,
     core: Mutex<Core>,
     /// The clients whose RPCs are in hand.
     inhand: Mutex<HashMap<Id, Arc<Client>>>,
@@ -53,6 +59,8 @@
     started: Instant,
     ids: AtomicU64,
     stop: AtomicBool,
+    /// Nothing new is taken any more.
+    close: AtomicBool,
     /// The node list is followed for this count of moves; none at `u64::MAX`.
     watching: AtomicU64,
     /// When the process was last seen to have stood still, and when the clock coroutine last ran, in
@@ -68,11 +76,15 @@
     places: Arc<Places>,
     vote_wait: Duration,
     longest: Duration,
+    /// Each method, and whether it may run again.
+    methods: Arc<Vec<(String, bool)>>,
 }
 
 impl Live {
     fn of(terms: &Terms) -> Self {
+        let safe = terms.rollout.methods.iter().map(|m| m.repeat != Repeat::NonIdempotent);
         Live {
+            methods: Arc::new(terms.methods.iter().cloned().zip(safe).collect()),
             bounds: terms.bounds,
             places: Arc::new(terms.places.clone()),
             vote_wait: terms.rollout.release.vote_wait,
@@ -99,6 +111,14 @@
         self.ids.fetch_add(1, Ordering::Relaxed) + 1
     }
 
+    fn closing(&self) -> bool {
+        self.close.load(Ordering::Acquire)
+    }
+
+    fn ready(&self) -> usize {
+        self.core.lock().unwrap().ready()
+    }
+
     fn stopping(&self) -> bool {
         self.stop.load(Ordering::Acquire)
     }
@@ -165,7 +185,10 @@
     /// Enters a client connection; false where there are too many.
     fn enter(&self, name: u64, client: &Arc<Client>) -> bool {
         let mut clients = self.clients.lock().unwrap();
-        let room = clients.len() < self.bounds().clients;
+        let room = clients.len() < self.bounds().clients || {
+            let spare = clients.iter().filter_map(|(name, c)| Some((c.spare()?, *name))).max();
+            spare.and_then(|(_, name)| clients.remove(&name)).map(|c| c.look.cut()).is_some()
+        };
         if room {
             clients.insert(name, client.clone());
             self.present.store(clients.len(), Ordering::Relaxed);
@@ -232,9 +255,31 @@
 /// # Errors
 /// When its addresses cannot be had.
 pub fn start(terms: Terms) -> io::Result<Running> {
+    let (edge, listener) = prepare(terms, Dialect::Native)?;
+    Ok(begin(edge, listener))
+}
+
+/// Starts a marshal of the platform by what its file says.
+///
+/// # Errors
+/// When its address cannot be had.
+pub fn start_on_platform(start: Start) -> io::Result<Running> {
+    let (known, terms) = (start.known.listed(), start.terms);
+    let (edge, listener) = prepare(terms, Dialect::Platform(dialect::Platform::new(start.known)))?;
+    // What was known before comes first: whatever is told from now on is newer.
+    if let Some(stage) = start.news {
+        let news = News { index: 0, stage: Some(stage), sums: vec![], disputed: vec![] };
+        edge.tell(Input::News(&news), 0);
+    }
+    if !known.is_empty() {
+        edge.tell(Input::Known(&known), 0);
+    }
+    Ok(begin(edge, listener))
+}
+
+fn prepare(terms: Terms, dialect: Dialect) -> io::Result<(Arc<Edge>, TcpListener)> {
     coroutine::prepare(terms.bounds.workers);
     let listener = listen(terms.places.listen)?;
-    let listens = listener.local_addr()?;
     let peers = match terms.places.peers.get(terms.rollout.marshal) {
         Some(own) => Some(UdpSocket::bind(own)?),
         None => None,
@@ -242,10 +287,15 @@
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let zero_ms = unix.saturating_sub(BEFORE).as_millis() as u64;
     let edge = Arc::new(Edge {
+        dialect,
         inhand: Mutex::default(),
         clients: Mutex::default(),
         present: AtomicUsize::new(0),
-        pool: Pool::new(terms.bounds.idle_to_node, terms.rollout.limits.idle_kept),
+        pool: Pool::new(
+            terms.bounds.idle_to_node,
+            terms.bounds.idle_to_nodes,
+            terms.rollout.limits.idle_kept,
+        ),
         live: Mutex::new(Live::of(&terms)),
         moves: AtomicU64::new(0),
         number: terms.rollout.marshal,
@@ -254,18 +304,24 @@
         started: Instant::now(),
         ids: AtomicU64::new(0),
         stop: AtomicBool::new(false),
+        close: AtomicBool::new(false),
         watching: AtomicU64::new(u64::MAX),
         stood: AtomicU64::new(0),
         ticked: AtomicU64::new(0),
         complained: Mutex::default(),
         core: Mutex::new(Core::new(terms, zero_ms)),
     });
+    Ok((edge, listener))
+}
+
+fn begin(edge: Arc<Edge>, listener: TcpListener) -> Running {
+    let listens = listener.local_addr().unwrap_or_else(|_| edge.live().places.listen);
     news::follow_desk(&edge);
     keep_time(&edge);
     hear_peers(&edge);
     let accepting = edge.clone();
     go(move || clients::accept(&accepting, &listener));
-    Ok(Running { edge, listens })
+    Running { edge, listens }
 }
 
 /// Wakes the core when it is due, and looks after clients and idle connections.
@@ -292,7 +348,7 @@
         for round in 0u64.. {
             pause(LOOK);
             looking.look_at_clients();
-            if looking.stopping() {
+            if looking.closing() {
                 looking.close_idle_clients();
             }
             if round % 20 == 0 {
@@ -337,7 +393,7 @@
     pub fn renew(&self, terms: Terms) -> Result<(), String> {
         let (edge, new, limits) = (&self.edge, Live::of(&terms), terms.rollout.limits);
         edge.core.lock().unwrap().renew(terms)?;
-        edge.pool.renew(new.bounds.idle_to_node, limits.idle_kept);
+        edge.pool.renew(new.bounds.idle_to_node, new.bounds.idle_to_nodes, limits.idle_kept);
         // An RPC taken under the earlier terms may need its longer deadline.
         let old = edge.live();
         let longest = old.longest.max(new.longest);
@@ -353,13 +409,16 @@
 
     /// How many nodes are known to be ready.
     pub fn nodes(&self) -> usize {
-        self.edge.core.lock().unwrap().ready()
+        self.edge.ready()
     }
 
     /// Stops accepting, finishes what is held, and returns within the longest deadline; true where nothing was
     /// left unfinished.
     pub fn stop(&self) -> bool {
         self.edge.stop.store(true, Ordering::Release);
+        // Whoever still comes is served, and told to come no more.
+        std::thread::sleep(self.edge.bounds().linger);
+        self.edge.close.store(true, Ordering::Release);
         // An accept in progress wakes by a connection.
         let _ = std::net::TcpStream::connect_timeout(&self.listens, Duration::from_millis(200));
         let by = Instant::now() + self.edge.live().longest + Duration::from_millis(200);
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -11,7 +11,7 @@
 use ivydrift_wire::{desk, list, message};
 use rand::RngExt;
 
-use crate::Edge;
+use crate::{platform, Edge};
 use ivydrift_sockets::coroutine::{go, pause};
 use ivydrift_sockets::Socket;
 
@@ -22,7 +22,7 @@
 const SLACK: Duration = Duration::from_secs(2);
 
 /// A connection to list or desk that is used again for the next question.
-struct Asker {
+pub struct Asker {
     to: SocketAddr,
     /// Who asks, as the User-Agent.
     name: String,
@@ -30,13 +30,13 @@
 }
 
 impl Asker {
-    fn new(to: SocketAddr, marshal: usize) -> Self {
+    pub fn new(to: SocketAddr, marshal: usize) -> Self {
         let name = format!("ivydrift/{} marshal-{marshal}", env!("CARGO_PKG_VERSION"));
         Asker { to, name, socket: None }
     }
 
     /// Asks and reads the answer whole: its index, where it has one, and its body.
-    fn ask(
+    pub fn ask(
         &mut self, verb: &str, path: &str, body: &[u8], most: usize, within: Duration,
     ) -> io::Result<(Option<u64>, Vec<u8>)> {
         let by = Instant::now() + within;
@@ -76,6 +76,9 @@
     if edge.watching.swap(moves, Ordering::AcqRel) == moves {
         return;
     }
+    if edge.dialect.platform().is_some() {
+        return platform::watch(edge, moves);
+    }
     let edge = edge.clone();
     go(move || {
         let places = edge.live().places;
@@ -114,6 +117,9 @@
 
 /// Follows the release desk until it moves.
 pub fn follow_desk(edge: &Arc<Edge>) {
+    if edge.dialect.platform().is_some() {
+        return platform::follow_desk(edge);
+    }
     let edge = edge.clone();
     go(move || {
         let moves = edge.moves.load(Ordering::Acquire);
@@ -146,6 +152,9 @@
 }
 
 pub fn vote(edge: &Arc<Edge>, vote: desk::Vote) {
+    if edge.dialect.platform().is_some() {
+        return platform::vote(edge, vote);
+    }
     let edge = edge.clone();
     go(move || {
         let body = ivydrift_wire::desk::write(&vote);
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -17,21 +17,26 @@
 
 pub struct Pool {
     most: AtomicUsize,
+    /// The most to all nodes together.
+    most_in_all: AtomicUsize,
     kept_ms: AtomicU64,
     idle: Mutex<HashMap<SocketAddr, Stack>>,
 }
 
 // The std lock is never held across a yield: nothing under it blocks.
 impl Pool {
-    pub fn new(most: usize, kept: Duration) -> Self {
-        let pool = Pool { most: AtomicUsize::new(0), kept_ms: AtomicU64::new(0), idle: Mutex::default() };
-        pool.renew(most, kept);
+    pub fn new(most: usize, most_in_all: usize, kept: Duration) -> Self {
+        let zero = || AtomicUsize::new(0);
+        let pool =
+            Pool { most: zero(), most_in_all: zero(), kept_ms: AtomicU64::new(0), idle: Mutex::default() };
+        pool.renew(most, most_in_all, kept);
         pool
     }
 
     /// New bounds; what is over them goes when it is next looked at.
-    pub fn renew(&self, most: usize, kept: Duration) {
+    pub fn renew(&self, most: usize, most_in_all: usize, kept: Duration) {
         self.most.store(most, Ordering::Relaxed);
+        self.most_in_all.store(most_in_all, Ordering::Relaxed);
         self.kept_ms.store(kept.as_millis() as u64, Ordering::Relaxed);
     }
 
@@ -60,10 +65,16 @@
 
     pub fn put(&self, node: SocketAddr, socket: Socket) {
         let mut idle = self.idle.lock().unwrap();
-        let stack = idle.entry(node).or_default();
-        if stack.len() < self.most.load(Ordering::Relaxed) {
-            stack.push((Instant::now(), socket));
+        if idle.get(&node).is_some_and(|stack| stack.len() >= self.most.load(Ordering::Relaxed)) {
+            return;
         }
+        if idle.values().map(Vec::len).sum::<usize>() >= self.most_in_all.load(Ordering::Relaxed) {
+            // The one that has rested longest makes room.
+            let oldest = idle.iter().filter_map(|(node, s)| Some((s.first()?.0, *node))).min();
+            let Some((_, oldest)) = oldest else { return };
+            idle.entry(oldest).and_modify(|stack| drop(stack.remove(0)));
+        }
+        idle.entry(node).or_default().push((Instant::now(), socket));
     }
 
     pub fn close(&self, node: SocketAddr) {
--- a/crates/benchlink/src/facts.rs
+++ b/crates/facts/src/lib.rs
@@ -1,23 +1,73 @@
-//! The start settings: `path=value` lines into [`RolloutTerms`]. Keys it does not know are disregarded.
+//! The start settings of the operators: one reader into [`RolloutTerms`], two forms, `path=value` lines on the bench's
+//! wire and an object in the platform's file. Keys it does not know are disregarded.
+#![forbid(unsafe_code)]
 
 use std::collections::HashMap;
+use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
 
 use ivydrift_policy::port::*;
-
-use crate::codec::{malformed, Result};
+use serde_json::Value;
 
 /// What a start message says, and how load reports are laid out.
 pub struct Facts {
     pub terms: RolloutTerms,
     pub columns: Vec<String>,
+    /// Names behind the terms' indices.
+    pub methods: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// How long a connection to a node may take to come up.
+    pub connect: Duration,
+}
+
+/// What is wrong, in one plain sentence without its full stop.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wrong(pub String);
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Where no time for connecting is stated.
+const DIAL: Duration = Duration::from_millis(250);
+
+pub type Result<T> = std::result::Result<T, Wrong>;
+
+fn malformed<T>(what: impl Into<String>) -> Result<T> {
+    Err(Wrong(what.into()))
 }
 
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
+struct Pairs(HashMap<String, String>);
 
-impl<'a> Pairs<'a> {
-    fn text(&self, key: &str) -> Result<&'a str> {
+impl Pairs {
+    /// Lines of `path=value`.
+    fn lines(text: &[u8]) -> Result<Self> {
+        let Ok(text) = std::str::from_utf8(text) else {
+            return malformed("the start settings are not UTF-8");
+        };
+        let mut pairs = HashMap::new();
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            match line.split_once('=') {
+                Some((key, value)) => pairs.insert(key.to_owned(), value.to_owned()),
+                None => return malformed(format!("a line of the start settings has no '=': {line:?}")),
+            };
+        }
+        Ok(Pairs(pairs))
+    }
+
+    /// The same out of an object: paths joined by points, lists of plain values by commas, others by number.
+    fn object(value: &Value) -> Self {
+        let mut pairs = HashMap::new();
+        flatten(String::new(), value, &mut pairs);
+        Pairs(pairs)
+    }
+
+    fn text(&self, key: &str) -> Result<&str> {
         match self.0.get(key) {
             Some(value) => Ok(value),
             None => malformed(format!("the start settings lack {key}")),
@@ -67,16 +117,16 @@
     }
 
     fn flag(&self, key: &str) -> Result<bool> {
-        match self.0.get(key) {
+        match self.0.get(key).map(String::as_str) {
             None => Ok(false),
-            Some(&"true" | &"1") => Ok(true),
-            Some(&"false" | &"0") => Ok(false),
+            Some("true" | "1") => Ok(true),
+            Some("false" | "0") => Ok(false),
             Some(other) => malformed(format!("the start setting {key} is neither true nor false: {other:?}")),
         }
     }
 
-    fn words(&self, key: &str) -> Vec<&'a str> {
-        self.0.get(key).map_or(Vec::new(), |v| v.split(',').filter(|w| !w.is_empty()).collect())
+    fn words(&self, key: &str) -> Vec<&str> {
+        self.0.get(key).map_or_else(Vec::new, |v| v.split(',').filter(|w| !w.is_empty()).collect())
     }
 
     fn numbers(&self, key: &str) -> Result<Vec<f64>> {
@@ -98,19 +148,53 @@
     }
 }
 
-pub fn read(salt: u64, text: &[u8]) -> Result<Facts> {
-    let Ok(text) = std::str::from_utf8(text) else {
-        return malformed("the start settings are not UTF-8");
-    };
-    let mut pairs = HashMap::new();
-    for line in text.lines().filter(|line| !line.trim().is_empty()) {
-        match line.split_once('=') {
-            Some((key, value)) => pairs.insert(key, value),
-            None => return malformed(format!("a line of the start settings has no '=': {line:?}")),
-        };
+fn plain(value: &Value) -> Option<String> {
+    match value {
+        Value::Bool(b) => Some(b.to_string()),
+        Value::Number(n) => Some(n.to_string()),
+        Value::String(s) => Some(s.clone()),
+        Value::Null | Value::Array(_) | Value::Object(_) => None,
     }
-    let p = Pairs(pairs);
-    let methods = (0..p.count("request_classes")?).map(|i| method(&p, i)).collect::<Result<Vec<_>>>()?;
+}
+
+fn flatten(path: String, value: &Value, pairs: &mut HashMap<String, String>) {
+    let under = |part: &str| if path.is_empty() { part.to_owned() } else { format!("{path}.{part}") };
+    match value {
+        Value::Object(map) => map.iter().for_each(|(key, value)| flatten(under(key), value, pairs)),
+        Value::Array(list) if list.iter().any(|one| plain(one).is_none()) => {
+            pairs.insert(under("count"), list.len().to_string());
+            for (i, one) in list.iter().enumerate() {
+                flatten(under(&i.to_string()), one, pairs);
+            }
+        }
+        Value::Array(list) => {
+            let words: Vec<String> = list.iter().filter_map(plain).collect();
+            pairs.insert(path, words.join(","));
+        }
+        other => {
+            pairs.extend(plain(other).map(|text| (path, text)));
+        }
+    }
+}
+
+/// Out of the lines of the bench's start message.
+///
+/// # Errors
+/// What is wrong with them.
+pub fn read(salt: u64, text: &[u8]) -> Result<Facts> {
+    facts(salt, &Pairs::lines(text)?)
+}
+
+/// Out of the same as an object.
+///
+/// # Errors
+/// What is wrong with it.
+pub fn read_object(salt: u64, value: &Value) -> Result<Facts> {
+    facts(salt, &Pairs::object(value))
+}
+
+fn facts(salt: u64, p: &Pairs) -> Result<Facts> {
+    let methods = (0..p.count("request_classes")?).map(|i| method(p, i)).collect::<Result<Vec<_>>>()?;
     if methods.is_empty() {
         return malformed("the start settings name no request_classes");
     }
@@ -140,7 +224,7 @@
         over_share_utility: p.number_or_zero("over_share_worth")?,
         warm_keys: p.flag("family_info.warm_keys")?,
         kinds: p.words("models").len(),
-        release: release(&p)?,
+        release: release(p)?,
         rules: RuleTerms {
             drain_grace: p.span("rules.drain_grace")?,
             cold_from: p.number("rules.cold_from")?,
@@ -159,7 +243,19 @@
             retry_after,
         },
     };
-    Ok(Facts { terms, columns: p.words("load_report.columns").into_iter().map(str::to_owned).collect() })
+    let words = |key: &str| p.words(key).into_iter().map(str::to_owned).collect();
+    let names = |list: &str| -> Result<Vec<String>> {
+        (0..p.count(list)?).map(|i| p.text(&format!("{list}.{i}.name")).map(str::to_owned)).collect()
+    };
+    Ok(Facts {
+        terms,
+        columns: words("load_report.columns"),
+        methods: names("request_classes")?,
+        tenants: names("tenants")?,
+        zones: words("azs"),
+        kinds: words("models"),
+        connect: if p.has("bounds.dial_timeout") { p.span("bounds.dial_timeout")? } else { DIAL },
+    })
 }
 
 fn method(p: &Pairs, i: usize) -> Result<MethodTerms> {
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -21,7 +21,7 @@
 
 use directory::Directory;
 pub use directory::Rejected;
-pub use ivydrift_policy::port::Outcome;
+pub use ivydrift_policy::port::{Outcome, Repeat};
 use rpcs::Rpcs;
 
 /// An RPC, by the shell's number; never reused.
@@ -93,6 +93,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ballot {
     Answered(desk::VoteAnswer),
+    /// The desk said that it does not count, and no more.
+    Refused(desk::Counted),
     /// The desk said that it failed.
     Failed,
     /// No answer; the vote may count.
@@ -126,6 +128,8 @@
         id: Id,
     },
     List(&'a [list::Listed]),
+    /// The list as it was known before the start; it may be out of date.
+    Known(&'a [list::Listed]),
     /// The subscription to the list broke, or could not be had.
     ListLost,
     News(&'a desk::News),
@@ -407,6 +411,16 @@
                     self.early = Some((since, self.directory.whole()));
                 }
             }
+            Input::Known(nodes) => {
+                self.directory.take(now, self.zero_ms, nodes);
+                let Event::Nodes { nodes, .. } = self.directory.whole() else { return };
+                let event = Event::Nodes { scope: Scope::Cached, nodes };
+                if self.desk_heard {
+                    events.push(event);
+                } else {
+                    self.early = Some((now, event));
+                }
+            }
             Input::ListLost => events.push(Event::Nodes { scope: Scope::Failed, nodes: vec![] }),
             Input::News(news) => {
                 self.news(news, events);
@@ -552,15 +566,10 @@
             // The module reads the standing only from answers that count.
             Ballot::Failed => stand(VoteReply::Error),
             Ballot::Silent => stand(VoteReply::Silent),
-            Ballot::Answered(answer) => {
-                let reply = match answer.counted {
-                    desk::Counted::Counts => VoteReply::Counts,
-                    desk::Counted::Moot => VoteReply::Moot,
-                    desk::Counted::Full => VoteReply::Full,
-                    desk::Counted::Error => VoteReply::Error,
-                };
-                stage_event(&answer.stage, reply)
-            }
+            // A vote that counts comes with the standing; without it, nothing is known of either.
+            Ballot::Refused(desk::Counted::Counts) => stand(VoteReply::Silent),
+            Ballot::Refused(counted) => stand(reply_of(counted)),
+            Ballot::Answered(answer) => stage_event(&answer.stage, reply_of(answer.counted)),
         })
     }
 
@@ -647,6 +656,15 @@
     }
 }
 
+fn reply_of(counted: desk::Counted) -> VoteReply {
+    match counted {
+        desk::Counted::Counts => VoteReply::Counts,
+        desk::Counted::Moot => VoteReply::Moot,
+        desk::Counted::Full => VoteReply::Full,
+        desk::Counted::Error => VoteReply::Error,
+    }
+}
+
 fn stage_event(stage: &desk::Stage, reply: VoteReply) -> Event {
     let course = match stage.course {
         desk::Course::OnTrial => Course::OnTrial,
--- /dev/null
+++ b/crates/platform/src/desk.rs
@@ -0,0 +1,153 @@
+//! The release desk's lines: words with spaces between them, ended by CRLF.
+
+use ivydrift_wire::desk::{Counted, Course, Stage, Sums, Verdict, Vote};
+use serde_json::Value;
+
+/// A line of this length or more ends the connection.
+pub const LINE_BYTES: usize = 8 * 1024;
+
+/// Asks to be told what happens.
+pub const FOLLOW: &[u8] = b"follow\r\n";
+
+/// One line of the desk.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Line {
+    /// The answer to a vote that counts, with how things stand; without a standing, that to `follow`.
+    Done(Option<Stage>),
+    /// A vote that does not count.
+    Refused(Counted),
+    Stage(Stage),
+    Sums(Sums),
+    /// By the member's id.
+    Disputed {
+        unit: String,
+        method: String,
+        age_ms: u64,
+    },
+    /// A sign of life.
+    Alive,
+}
+
+pub fn vote(vote: &Vote) -> Vec<u8> {
+    let verdict = match vote.verdict {
+        Verdict::None => "none",
+        Verdict::On => "on",
+        Verdict::Hold => "hold",
+        Verdict::Back => "back",
+    };
+    format!("judge {} {} {verdict}\r\n", vote.build, vote.stage).into_bytes()
+}
+
+fn course(word: &str) -> Option<Course> {
+    Some(match word {
+        "testing" => Course::OnTrial,
+        "recalling" => Course::GoingBack,
+        "live" => Course::Released,
+        "recalled" => Course::Withdrawn,
+        _ => return None,
+    })
+}
+
+fn number(word: &str) -> Option<f64> {
+    word.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0)
+}
+
+fn stage(words: &[&str]) -> Option<Stage> {
+    let [build, stage, mode, cap, age] = words else { return None };
+    let cap = number(cap).filter(|cap| *cap <= 1.0)?;
+    let (build, stage) = (build.parse().ok()?, stage.parse().ok()?);
+    Some(Stage { build, stage, course: course(mode)?, cap, age_ms: number(age)? as u64 })
+}
+
+/// The standing as the platform's file has it.
+///
+/// # Errors
+/// A sentence on what is wrong.
+pub fn stage_of(news: &Value) -> Result<Stage, String> {
+    const KEYS: [&str; 5] = ["release", "tranche", "mode", "exposure", "old_ms"];
+    let word = |key: &str| match &news[key] {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
+    let words = KEYS.map(word);
+    stage(&words.each_ref().map(String::as_str))
+        .ok_or_else(|| format!("write {}, as in 42, 1, \"testing\", 0.28, 310", KEYS.join(", ")))
+}
+
+/// Reads a line without its ending.
+///
+/// # Errors
+/// A sentence on what cannot be read.
+pub fn line(text: &[u8]) -> Result<Line, String> {
+    let shown = || format!("a line of the desk cannot be read: {:?}", String::from_utf8_lossy(text));
+    let Ok(plain) = std::str::from_utf8(text) else { return Err(shown()) };
+    let words: Vec<&str> = plain.split(' ').collect();
+    let read = match &words[..] {
+        ["OK"] => Some(Line::Done(None)),
+        ["OK", words @ ..] => stage(words).map(|s| Line::Done(Some(s))),
+        ["ERR", "limit"] => Some(Line::Refused(Counted::Full)),
+        ["ERR", "moot"] => Some(Line::Refused(Counted::Moot)),
+        ["ERR", "error" | "malformed"] => Some(Line::Refused(Counted::Error)),
+        ["*"] => Some(Line::Alive),
+        ["*", "ROLLOUT", words @ ..] => stage(words).map(Line::Stage),
+        ["*", "SAMPLE", words @ ..] => sums(words).map(Line::Sums),
+        ["*", "DISPUTE", unit, method, age] => number(age).map(|age| {
+            let (unit, method) = ((*unit).to_owned(), (*method).to_owned());
+            Line::Disputed { unit, method, age_ms: age as u64 }
+        }),
+        _ => None,
+    };
+    read.ok_or_else(shown)
+}
+
+fn sums(words: &[&str]) -> Option<Sums> {
+    let [build, method, seen, broken, took, age] = words else { return None };
+    Some(Sums {
+        build: build.parse().ok()?,
+        method: (*method).to_owned(),
+        picks: seen.parse().ok()?,
+        failed: broken.parse().ok()?,
+        mean_ms: number(took)?,
+        age_ms: number(age)? as u64,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_are_read_as_the_protocol_shows_them() {
+        let on_trial = Stage { build: 42, stage: 1, course: Course::OnTrial, cap: 0.28, age_ms: 310 };
+        assert_eq!(line(b"OK 42 1 testing 0.28 310"), Ok(Line::Done(Some(on_trial))));
+        assert_eq!(line(b"* ROLLOUT 42 1 testing 0.28 310"), Ok(Line::Stage(on_trial)));
+        let sums =
+            Sums { build: 42, method: "lookup".into(), picks: 57, failed: 2, mean_ms: 18.5, age_ms: 900 };
+        assert_eq!(line(b"* SAMPLE 42 lookup 57 2 18.5 900"), Ok(Line::Sums(sums)));
+        let disputed = Line::Disputed { unit: "s-5be2a07c".into(), method: "lookup".into(), age_ms: 1200 };
+        assert_eq!(line(b"* DISPUTE s-5be2a07c lookup 1200"), Ok(disputed));
+        assert_eq!((line(b"OK"), line(b"*")), (Ok(Line::Done(None)), Ok(Line::Alive)));
+        assert_eq!(line(b"ERR limit"), Ok(Line::Refused(Counted::Full)));
+        let back = Vote { marshal: 0, verdict: Verdict::Back, stage: 2, build: 42 };
+        assert_eq!(vote(&back), b"judge 42 2 back\r\n");
+    }
+
+    #[test]
+    fn what_is_spoilt_is_not_believed() {
+        for bad in [
+            "* ROLLOUT 42 1 testing 0.28",
+            "* ROLLOUT 42 1 tes",
+            "* ROLLOUT 42 1 testing 1.28 310",
+            "* ROLLOUT 42 1 testing NaN 310",
+            "OK 42 1 testing -0.1 310",
+            "OK 42",
+            "* SAMPLE 42 lookup 57 2",
+            "ERR",
+            "HTTP/1.1 200 OK",
+            "",
+        ] {
+            assert!(line(bad.as_bytes()).is_err(), "{bad:?}");
+        }
+        assert!(line(b"\xff\xfe *").is_err());
+    }
+}
--- /dev/null
+++ b/crates/platform/src/members.rs
@@ -0,0 +1,148 @@
+//! The list of members: whole or as changes since a revision.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use ivydrift_wire::list::{Listed, State};
+use serde::Deserialize;
+
+/// The longest list that is taken.
+pub const LIST_BYTES: usize = 4 * 1024 * 1024;
+
+#[derive(Deserialize)]
+struct Page {
+    revision: u64,
+    complete: bool,
+    members: Vec<Member>,
+}
+
+#[derive(Deserialize)]
+struct Member {
+    id: String,
+    host_port: String,
+    #[serde(default)]
+    locality: String,
+    #[serde(default)]
+    flavor: String,
+    #[serde(default)]
+    cell: f64,
+    phase: String,
+    #[serde(default = "one")]
+    size: f64,
+    #[serde(default)]
+    up_since_ms: f64,
+    image_id: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// All members as last told, by their ids.
+#[derive(Clone, Default)]
+pub struct Catalog {
+    revision: u64,
+    members: BTreeMap<String, Listed>,
+}
+
+impl Catalog {
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    pub fn listed(&self) -> Vec<Listed> {
+        self.members.values().cloned().collect()
+    }
+
+    /// Where the member with this id is.
+    pub fn place(&self, id: &str) -> Option<String> {
+        self.members.get(id).map(|m| format!("{}:{}", m.host, m.port))
+    }
+
+    /// What to ask for next: changes after what is known, held up to this long, or the whole list.
+    pub fn path(&self, hold_ms: u64) -> String {
+        match self.revision {
+            0 => "/catalog/members".to_owned(),
+            known => format!("/catalog/members?from={known}&hold_ms={hold_ms}"),
+        }
+    }
+
+    /// Takes an answer whole, or not at all.
+    ///
+    /// # Errors
+    /// A sentence on what is wrong; then nothing has changed.
+    pub fn take(&mut self, text: &str) -> Result<(), String> {
+        let page: Page = serde_json::from_str(text).map_err(|e| format!("the list of members: {e}"))?;
+        let mut members = if page.complete { BTreeMap::new() } else { self.members.clone() };
+        for m in page.members {
+            if m.phase == "left" {
+                members.remove(&m.id);
+                continue;
+            }
+            let Ok(addr) = m.host_port.parse::<SocketAddr>() else {
+                return Err(format!("member {}: host_port is {:?}, not address:port", m.id, m.host_port));
+            };
+            let listed = Listed {
+                host: addr.ip().to_string(),
+                port: addr.port(),
+                state: if m.phase == "active" { State::Ready } else { State::Draining },
+                build: m.image_id as u32,
+                zone: m.locality,
+                cell: m.cell as u16,
+                kind: m.flavor,
+                power: m.size,
+                started_ms: (m.up_since_ms > 0.0).then_some(m.up_since_ms as u64),
+            };
+            members.insert(m.id, listed);
+        }
+        (self.revision, self.members) = (page.revision, members);
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn page(revision: u64, complete: bool, members: &[(&str, &str, u32)]) -> String {
+        let one = |(id, phase, build): &(&str, &str, u32)| {
+            format!(
+                r#"{{"id":"{id}","host_port":"10.1.0.{build}:5000","locality":"a","flavor":"m2","cell":3,
+                    "phase":"{phase}","size":1.5,"up_since_ms":0,"image_id":{build}}}"#
+            )
+        };
+        let members = members.iter().map(one).collect::<Vec<_>>().join(",");
+        format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
+    }
+
+    #[test]
+    fn changes_are_laid_over_the_list_and_a_whole_list_replaces_it() {
+        let mut catalog = Catalog::default();
+        assert_eq!(catalog.path(5000), "/catalog/members");
+        catalog.take(&page(7, true, &[("a", "active", 1), ("b", "active", 1)])).unwrap();
+        assert_eq!(catalog.path(5000), "/catalog/members?from=7&hold_ms=5000");
+        catalog.take(&page(8, false, &[("b", "leaving", 1), ("c", "active", 2)])).unwrap();
+        let states = |c: &Catalog| c.listed().iter().map(|l| (l.state, l.build)).collect::<Vec<_>>();
+        assert_eq!(states(&catalog), [(State::Ready, 1), (State::Draining, 1), (State::Ready, 2)]);
+        assert_eq!(catalog.place("c").as_deref(), Some("10.1.0.2:5000"));
+        catalog.take(&page(9, false, &[("b", "left", 1)])).unwrap();
+        assert_eq!(catalog.listed().len(), 2);
+        // No change is none.
+        catalog.take(&page(9, false, &[])).unwrap();
+        assert_eq!(catalog.listed().len(), 2);
+        catalog.take(&page(4, true, &[("c", "active", 3)])).unwrap();
+        assert_eq!((states(&catalog), catalog.revision()), (vec![(State::Ready, 3)], 4));
+    }
+
+    #[test]
+    fn what_cannot_be_read_whole_changes_nothing() {
+        let mut catalog = Catalog::default();
+        catalog.take(&page(7, true, &[("a", "active", 1)])).unwrap();
+        let whole = page(8, true, &[("b", "active", 1), ("c", "active", 2)]);
+        for cut in 0..whole.len() {
+            assert!(catalog.take(&whole[..cut]).is_err(), "{cut}");
+        }
+        assert!(catalog.take(&whole.replace("10.1.0.2:5000", "nowhere")).unwrap_err().contains("member c"));
+        assert_eq!((catalog.revision(), catalog.listed().len()), (7, 1));
+    }
+}
--- /dev/null
+++ b/crates/platform/src/rpc.rs
@@ -0,0 +1,195 @@
+//! What an RPC carries on the platform, and what its answers say.
+
+use std::time::Duration;
+
+use ivydrift_wire::http::{Framing, HeadWriter, Refusal, Request, Response};
+use ivydrift_wire::orca::Metrics;
+
+use crate::start::BODY;
+
+pub const ID: &str = "x-request-id";
+pub const TENANT: &str = "x-tenant-id";
+pub const TIMEOUT: &str = "x-timeout-ms";
+pub const RETRIED: &str = "x-retried";
+/// A node's word that it turned the RPC away unseen.
+pub const NEVER_RAN: &str = "x-not-processed";
+pub const LOAD: &str = "x-server-load";
+/// Where the front asks whether the marshal is ready.
+pub const HEALTH: &str = "/_health";
+
+/// The longest id taken.
+const ID_BYTES: usize = 128;
+
+/// An RPC as its head states it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ask<'a> {
+    pub id: &'a str,
+    pub method: &'a str,
+    pub tenant: Option<&'a str>,
+    /// How long the client waits, from when it sent the RPC.
+    pub left: Duration,
+    pub repeated: bool,
+}
+
+/// The method's name: the first part of the path.
+pub fn method_of(target: &str) -> &str {
+    let path = target.split(['?', '#']).next().unwrap_or("");
+    path.trim_start_matches('/').split('/').next().unwrap_or("")
+}
+
+pub fn asks_health(request: &Request) -> bool {
+    request.verb == "GET" && request.target == HEALTH
+}
+
+/// Reads an RPC's head. `safe`: whether its method may run again, none where there is no such method.
+///
+/// # Errors
+/// Why it is no RPC of the platform: nothing of it may reach a node.
+pub fn read<'a>(request: &'a Request, safe: Option<bool>) -> Result<Ask<'a>, Refusal> {
+    let refuse = |status, why| Err(Refusal { status, why });
+    let single = |name| {
+        let mut values = request.fields.all(name);
+        values.next().filter(|_| values.next().is_none()).and_then(|v| std::str::from_utf8(v).ok())
+    };
+    let named = |id: &&str| (1..=ID_BYTES).contains(&id.len()) && id.bytes().all(|b| b.is_ascii_graphic());
+    let Some(id) = single(ID).filter(named) else {
+        return refuse(400, "there must be one X-Request-ID of 1 to 128 visible characters");
+    };
+    let digits = |t: &&str| (1..=9).contains(&t.len()) && t.bytes().all(|b| b.is_ascii_digit());
+    let left = single(TIMEOUT).filter(digits).and_then(|t| t.parse().ok()).filter(|ms| *ms > 0);
+    let Some(left) = left.map(Duration::from_millis) else {
+        return refuse(400, "there must be one X-Timeout-Ms, a whole number over 0, as in 480");
+    };
+    match safe {
+        None => return refuse(404, "no such class: the first part of the path names it"),
+        Some(true) if request.verb != "GET" => return refuse(405, "this class uses GET"),
+        Some(false) if request.verb != "POST" => return refuse(405, "this class uses POST"),
+        Some(true) if request.framing != Framing::Length(0) => return refuse(400, "a GET has no body here"),
+        Some(_) => {}
+    }
+    let repeated = request.fields.get(RETRIED) == Some("1");
+    Ok(Ask { id, method: method_of(&request.target), tenant: request.fields.get(TENANT), left, repeated })
+}
+
+/// A node's answer as status, its word that the RPC never ran, and its load report.
+pub fn heard(head: &Response) -> (u16, bool, Metrics) {
+    let load = head.fields.get(LOAD).map(load).unwrap_or_default();
+    match head.status {
+        503 | 504 if head.fields.get(NEVER_RAN) == Some("1") => (503, true, load),
+        200 => (200, false, load),
+        // Nothing else is served here, whatever it means elsewhere.
+        _ => (500, false, load),
+    }
+}
+
+/// An answer whose end cannot be told, or that is longer than any of the platform's, is spoilt.
+pub fn spoilt(framing: Framing) -> bool {
+    match framing {
+        Framing::Length(n) => n > BODY as u64,
+        Framing::Chunked => false,
+        Framing::UntilClose => true,
+    }
+}
+
+/// A load report, as in `inflight=7,queue=2,util=0.61`. What cannot be read says nothing.
+pub fn load(text: &str) -> Metrics {
+    let mut load = Metrics::default();
+    for (name, value) in text.split(',').filter_map(|pair| pair.trim().split_once('=')) {
+        let Some(value) = value.parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0) else { continue };
+        match name {
+            "inflight" | "concurrent" => load.in_flight = Some(value),
+            "queue" | "depth" => load.queue = Some(value),
+            "util" | "load_share" => load.cpu_utilization = Some(value),
+            "latency_ms" | "mean_ms" => load.latency_ms = Some(value),
+            "qps" | "tps" => load.rps = Some(value),
+            "eps" | "err_ps" => load.eps = Some(value),
+            _ => {}
+        }
+    }
+    load
+}
+
+/// How long the marshal waits, on the way to a node.
+pub fn timeout(within: Duration) -> String {
+    within.as_millis().max(1).to_string()
+}
+
+/// A refusal: trying again is harmless.
+pub fn push_back(retry_after: Option<Duration>) -> HeadWriter {
+    let head = HeadWriter::response(503);
+    match retry_after.filter(|wait| !wait.is_zero()) {
+        Some(wait) => head.field("retry-after", format!("{:.3}", wait.as_secs_f64())),
+        None => head,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ivydrift_wire::http;
+
+    fn request(text: &str) -> Request {
+        http::request(text.as_bytes()).unwrap().unwrap().0
+    }
+
+    fn status(text: &str, safe: Option<bool>) -> u16 {
+        read(&request(text), safe).map_or_else(|refusal| refusal.status, |_| 200)
+    }
+
+    #[test]
+    fn an_rpc_is_read_as_the_protocol_shows_it() {
+        let text =
+            "POST /checkout/7?x=1 HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: 9b1f03aa5c7e2d41\r\n\
+                    X-Tenant-Id: acme\r\nX-Timeout-Ms: 480\r\nX-Retried: 1\r\nContent-Length: 212\r\n\r\n";
+        let request = request(text);
+        let ask = read(&request, Some(false)).unwrap();
+        assert_eq!((ask.id, ask.method, ask.tenant), ("9b1f03aa5c7e2d41", "checkout", Some("acme")));
+        assert_eq!((ask.left, ask.repeated), (Duration::from_millis(480), true));
+    }
+
+    #[test]
+    fn what_no_usual_client_sends_is_refused_before_a_node_hears_of_it() {
+        let get = |fields: &str| format!("GET /r HTTP/1.1\r\nHost: h\r\n{fields}\r\n");
+        let fine = "X-Request-ID: a1\r\nX-Timeout-Ms: 480\r\n";
+        assert_eq!(status(&get(fine), Some(true)), 200);
+        assert_eq!(status(&get("X-Timeout-Ms: 480\r\n"), Some(true)), 400);
+        assert_eq!(status(&get("X-Request-ID: \r\nX-Timeout-Ms: 480\r\n"), Some(true)), 400);
+        assert_eq!(status(&get(&format!("X-Request-ID: b2\r\n{fine}")), Some(true)), 400);
+        assert_eq!(status(&get("X-Request-ID: a 1\r\nX-Timeout-Ms: 480\r\n"), Some(true)), 400);
+        for left in ["soon", "-5", "0", "1e3", "99999999999", "4.5", ""] {
+            assert_eq!(
+                status(&get(&format!("X-Request-ID: a1\r\nX-Timeout-Ms: {left}\r\n")), Some(true)),
+                400
+            );
+        }
+        assert_eq!(status(&get(fine), None), 404);
+        assert_eq!(status(&get(fine), Some(false)), 405);
+        assert_eq!(status(&get(&format!("{fine}Content-Length: 3\r\n")), Some(true)), 400);
+        assert_eq!(status(&get(&format!("{fine}Transfer-Encoding: chunked\r\n")), Some(true)), 400);
+    }
+
+    #[test]
+    fn a_node_s_word_is_read_from_503_and_504_alone() {
+        let heard = |text: &str| {
+            let head =
+                http::response(format!("HTTP/1.1 {text}\r\nContent-Length: 0\r\n\r\n").as_bytes(), false);
+            let (status, never_ran, load) = heard(&head.unwrap().unwrap().0);
+            (status, never_ran, load.in_flight)
+        };
+        assert_eq!(heard("200 OK\r\nX-Server-Load: inflight=7,queue=x,util"), (200, false, Some(7.0)));
+        assert_eq!(heard("503 Full\r\nX-Not-Processed: 1"), (503, true, None));
+        assert_eq!(heard("504 Over\r\nX-Not-Processed: 1"), (503, true, None));
+        assert_eq!(heard("500 Oh\r\nX-Not-Processed: 1"), (500, false, None));
+        assert_eq!(heard("503 Full"), (500, false, None));
+        assert_eq!(heard("204 None"), (500, false, None));
+        assert!(spoilt(Framing::Length(3_000_000_000)) && !spoilt(Framing::Length(65_536)));
+    }
+
+    #[test]
+    fn a_push_back_says_when_to_come_back_in_parts_of_a_second() {
+        let text = |wait| String::from_utf8(push_back(wait).finish()).unwrap();
+        assert!(text(Some(Duration::from_millis(340))).contains("retry-after: 0.340\r\n"));
+        assert!(!text(None).contains("retry-after"));
+        assert!(text(None).starts_with("HTTP/1.1 503 "));
+    }
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -41,10 +41,16 @@
     pub slow_client: Duration,
     /// Idle client connections are closed after this.
     pub idle_client: Duration,
+    /// A new client must have sent its first message whole within this, where that is asked of it.
+    pub first_message: Option<Duration>,
+    /// Clients may still come for this long after the order to stop.
+    pub linger: Duration,
     /// A connection to a node must stand within this.
     pub connect: Duration,
     /// Idle connections kept to one node.
     pub idle_to_node: usize,
+    /// Idle connections kept to all nodes together.
+    pub idle_to_nodes: usize,
     /// A final answer is on its way this long before the client's time is up.
     pub reserve: Duration,
     /// Threads that run coroutines.
@@ -136,8 +142,11 @@
         handshakes: s.whole("handshakes", Some(2000), 1..=1_000_000) as usize,
         slow_client: s.span("slow_client", Some(Duration::from_secs(10))),
         idle_client: s.span("idle_client", Some(Duration::from_secs(300))),
+        first_message: None,
+        linger: Duration::ZERO,
         connect: s.span("connect", Some(Duration::from_millis(250))),
         idle_to_node: s.whole("idle_to_node", Some(64), 1..=10_000) as usize,
+        idle_to_nodes: usize::MAX,
         reserve: s.span("reserve", Some(Duration::from_millis(20))),
         workers: s.whole("workers", Some(2), 1..=256) as usize,
     });
