No rehearsal while the fleet is crowded: the earlier nodes help in a burst

Probe of load by arm: the earlier nodes idle, the new ones full. Lines at fault: Front::choose, share in the rehearsal, whatever the load. Test seen to fail without it (0 of 1196 picks at the earlier nodes).

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -61,6 +61,8 @@
 /// The fleet is crowded when even this part of the latest answers, the quickest, took this part of their soft
 /// deadline (queues delay all alike, far zones, slow methods and ill nodes only some); how many those are.
 const CROWDED: [f64; 3] = [0.25, 0.25, 24.0];
+/// The fleet counts as crowded for this long after room was last cut.
+const RELIEF: Duration = ms(4000);
 /// Own picks in flight always allowed for each unit of power in this marshal's part of the fleet.
 const FAIR: f64 = 2.0;
 /// Keys that met the newest build are kept up to so many, once no earlier node is left.
@@ -367,6 +369,11 @@
         self.rpcs.values().filter(held).count() as f64
     }
 
+    /// Room had to be cut lately.
+    fn crowded(&self, cx: &Cx) -> bool {
+        self.cut > Duration::ZERO && cx.now < self.cut + RELIEF
+    }
+
     /// Limits own picks in flight, not below this marshal's part of the fleet: with many marshals a node's
     /// queue grows though each has but one pick there. Guards against overload where time-outs stop no work.
     fn make_room(&mut self, took: Duration, cx: &Cx) {
@@ -440,8 +447,11 @@
     /// A node of the arm of larger index within its limits, then of the other; wary of ill ones first.
     fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, [f64; 2], NodeEntry)> {
         let all = self.arms[0].len() + self.arms[1].len();
-        // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release.
-        let rehearsal = self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
+        // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release. Not
+        // in a crowd, as in a burst: idle nodes would stand beside RPCs pushed back, and the build be held to
+        // an arm without load. Harms where only the release shows that the new nodes are too few.
+        let crowd = self.crowded(cx);
+        let rehearsal = !crowd && self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
         let [old, new] = self.weights;
         let whole = if rehearsal { new.max(old) } else { new + old };
         // Nothing falls due to a build that gets nothing: many marshals would make it good all at once.
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -227,6 +227,34 @@
     assert!(new > 0.9, "the new nodes got {new} of the picks");
 }
 
+/// Nodes answer one RPC after the other, each in this time.
+fn queues(w: &mut World, work: u64) {
+    let busy = std::cell::RefCell::new(std::collections::BTreeMap::<NodeIx, std::time::Duration>::new());
+    w.behave = Box::new(move |e, _, now, _| {
+        let mut busy = busy.borrow_mut();
+        let free = busy.entry(e.node).or_default();
+        *free = now.max(*free) + ms(work);
+        (Outcome::Ok, *free - now)
+    });
+}
+
+#[test]
+fn the_rehearsal_ends_where_the_new_nodes_alone_cannot_take_the_load() {
+    let mut w = on_trial(8);
+    queues(&mut w, 40);
+    w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
+    w.run(ms(6000), 120);
+    // A burst, more than eight nodes can do and less than sixteen.
+    let (from, turned_away) = (w.now, w.pushed_back.len());
+    w.run(ms(8000), 300);
+    let late: Vec<_> = w.sends.iter().filter(|s| s.0 > from + ms(2000)).collect();
+    let old = late.iter().filter(|s| s.1.build == 1).count();
+    assert!(3 * old > late.len(), "{old} of {} picks at the earlier nodes", late.len());
+    let lost = w.pushed_back.len() - turned_away;
+    assert!(lost < 240, "{lost} of 2400 turned away beside idle nodes");
+    assert!(!w.voted(Verdict::Back), "a build was sent back for the load that it alone was given");
+}
+
 #[test]
 fn nodes_lost_after_the_test_by_abstention_are_not_held_against_the_build() {
     let mut w = on_trial(2);
