Lateness known from a rehearsal that broke off in a crowd is forgotten

Its ledgers of answer times hold what the new nodes met alone with the whole load beside what the earlier ones met in calm. Lines at fault: Judge's ledgers outlive the rehearsal's unlike load; they now start anew for both arms when the crowd begins. A test reproduces the vote back and was seen to fail without it; another holds that a build too slow for the release's load is still found out.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -374,14 +374,23 @@
         self.cut > Duration::ZERO && cx.now < self.cut + RELIEF
     }
 
+    /// The last stage, beside earlier machines.
+    fn last_stage(&self, cx: &Cx) -> bool {
+        let trial = |n: &News| n.course == Course::OnTrial && Some(n.stage) == cx.law.rehearse;
+        self.gate.news.as_ref().is_some_and(trial)
+    }
+
     /// Limits own picks in flight, not below this marshal's part of the fleet: with many marshals a node's
     /// queue grows though each has but one pick there. Guards against overload where time-outs stop no work.
-    fn make_room(&mut self, took: Duration, cx: &Cx) {
+    fn make_room(&mut self, took: Duration, cx: &mut Cx) {
         if self.lags.times.iter().sum::<f64>() > CROWDED[2] {
             self.lags.halve();
         }
         let crowded = self.lags.edge(CROWDED[0], CROWDED[2] / 3.0).is_some_and(|e| e >= bin(CROWDED[1]));
         if crowded && cx.now > self.cut + took {
+            if self.last_stage(cx) && !self.crowded(cx) {
+                cx.put(JUDGE, Note::Relieved);
+            }
             (self.room, self.cut) = ((0.8 * self.out(cx)).max(FAIR * self.fair).max(1.0), cx.now);
         } else if !crowded && self.out(cx) + 2.0 > self.room {
             self.room += 1.0 / self.room;
@@ -451,7 +460,7 @@
         // in a crowd, as in a burst: idle nodes would stand beside RPCs pushed back, and the build be held to
         // an arm without load. Harms where only the release shows that the new nodes are too few.
         let crowd = self.crowded(cx);
-        let rehearsal = !crowd && self.gate.news.is_some_and(|n| Some(n.stage) == cx.law.rehearse);
+        let rehearsal = !crowd && self.last_stage(cx);
         let [old, new] = self.weights;
         let whole = if rehearsal { new.max(old) } else { new + old };
         // Nothing falls due to a build that gets nothing: many marshals would make it good all at once.
@@ -630,7 +639,8 @@
                 if matches!(outcome, Outcome::Ok | Outcome::Error) {
                     ledger.sound.add(Tally::one(ok), 1.0);
                 }
-                if !young(&entry, at) && !outcome.never_ran() && outcome != Outcome::Cancelled {
+                let fair = at >= self.relieved && !young(&entry, at);
+                if fair && !outcome.never_ran() && outcome != Outcome::Cancelled {
                     ledger.paid.add(Tally::one(ok && took <= soft), 1.0);
                     let bin = bin(took / soft);
                     ledger.times[bin] += Tally::one(ok).good;
@@ -643,6 +653,12 @@
                     }
                 }
             }
+            Note::Relieved => {
+                // A rehearsal broke off: what is known of lateness was met at unlike load. It starts anew.
+                self.relieved = cx.now;
+                let all = self.books.iter_mut().flat_map(|b| &mut b.methods).chain(&mut self.past);
+                all.for_each(Ledger::forget_lateness);
+            }
             Note::Excused { entry, method, at } => {
                 if let Some(book) = self.books.get_mut(entry.node).filter(|b| b.is(&entry)) {
                     book.methods[method].excuse(young(&entry, at));
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -166,6 +166,7 @@
     Card(Card),
     Excused { entry: NodeEntry, method: usize, at: Duration },
     Booked { entry: NodeEntry, method: usize, at: Duration, outcome: Outcome, took: f64 },
+    Relieved,
     Favour { newest: Build, new_first: bool, starved: bool },
     Pump,
     Beat,
@@ -366,6 +367,9 @@
         self.sound.n = (self.sound.n - 1.0).max(self.sound.good);
         self.paid.n = if young { self.paid.n } else { (self.paid.n - 1.0).max(self.paid.good) };
     }
+    pub fn forget_lateness(&mut self) {
+        *self = Ledger { sound: self.sound, ..Ledger::default() };
+    }
     /// An answer was found wrong.
     pub fn dispute(&mut self) {
         self.paid.good = (self.paid.good - 1.0).max(0.0);
@@ -573,6 +577,8 @@
     pub strain: Strain,
     /// Since when the evidence has stood against the build.
     pub guilty: Option<Duration>,
+    /// When a rehearsal last broke off.
+    pub relieved: Duration,
     /// When a node last came or went.
     pub stirred: Duration,
     pub halved: Duration,
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -255,6 +255,34 @@
     assert!(!w.voted(Verdict::Back), "a build was sent back for the load that it alone was given");
 }
 
+#[test]
+fn what_the_new_nodes_met_alone_in_a_burst_is_not_held_against_the_build() {
+    let mut w = on_trial(3);
+    queues(&mut w, 40);
+    w.run(ms(6000), 60);
+    w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
+    (11..16).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
+    w.run(ms(400), 60);
+    w.run(ms(7000), 280);
+    w.run(ms(4000), 60);
+    assert!(!w.voted(Verdict::Back), "{:?}", w.votes);
+}
+
+#[test]
+fn a_build_too_slow_for_the_load_of_the_release_is_found_out_beside_the_earlier_nodes() {
+    let mut w = on_trial(8);
+    let slow = std::cell::RefCell::new(std::collections::BTreeMap::<NodeIx, std::time::Duration>::new());
+    w.behave = Box::new(move |e, _, now, _| {
+        let mut busy = slow.borrow_mut();
+        let free = busy.entry(e.node).or_default();
+        *free = now.max(*free) + ms(if e.build == 2 { 100 } else { 40 });
+        (Outcome::Ok, *free - now)
+    });
+    w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
+    w.run(ms(15_000), 120);
+    assert!(w.voted(Verdict::Back));
+}
+
 #[test]
 fn nodes_lost_after_the_test_by_abstention_are_not_held_against_the_build() {
     let mut w = on_trial(2);
