--- a/crates/sockets/src/coroutine.rs
+++ b/crates/sockets/src/coroutine.rs
@@ -13,9 +13,13 @@
 /// Words of stack a coroutine gets: 256 KiB of address space, of which only touched pages cost memory.
 const STACK_WORDS: usize = 0x8000;
 
+/// Stacks of ended coroutines kept for the next. may keeps 1000 by itself and hands them out in turn, so that each
+/// comes to hold the pages of the deepest call there ever was: 22 MiB in a marshal with 100 clients.
+const SPARE_STACKS: usize = 32;
+
 pub fn prepare(workers: usize) {
     let config = may::config();
-    config.set_workers(workers).set_stack_size(STACK_WORDS);
+    config.set_workers(workers).set_stack_size(STACK_WORDS).set_pool_capacity(SPARE_STACKS);
     // may pins its nth worker to the nth core: several processes on one machine would all crowd the first.
     config.set_worker_pin(false);
 }
--- /dev/null
+++ b/crates/sockets/tests/stacks.rs
@@ -0,0 +1,36 @@
+//! Coroutines that have ended leave little memory behind, however many there were.
+
+use std::hint::black_box;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use ivydrift_sockets::coroutine::{alive, go, prepare};
+
+fn resident_kib() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap();
+    statm.split(' ').nth(1).unwrap().parse::<usize>().unwrap() * 4
+}
+
+static DONE: AtomicUsize = AtomicUsize::new(0);
+
+fn one() {
+    go(|| {
+        // A connection's buffers and the calls beneath it.
+        black_box([1u8; 24 * 1024]);
+        DONE.fetch_add(1, Ordering::Relaxed);
+    });
+    while alive() > 0 {
+        std::thread::sleep(Duration::from_micros(50));
+    }
+}
+
+#[test]
+fn stacks_of_ended_coroutines_are_not_all_kept() {
+    prepare(1);
+    (0..50).for_each(|_| one());
+    let before = resident_kib();
+    (0..3000).for_each(|_| one());
+    assert_eq!(DONE.load(Ordering::Relaxed), 3050);
+    let grown = resident_kib().saturating_sub(before);
+    assert!(grown < 4 * 1024, "{grown} KiB more after 3000 short coroutines, one after the other");
+}
