Stops and moves on the platform's sockets: answers say close, a moved list is asked whole

Two were red at first: an answer to an RPC taken before SIGTERM did not say Connection: close (keep was settled before the wait, clients.rs serve), so its client kept the connection; and a list that had moved was asked for changes since a revision of the earlier place (platform.rs watch).

--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -357,6 +357,7 @@
         let framing = Some(framing).filter(|_| !rest.walk.ended());
         let outgoing = Outgoing { verb, target, fields, body, rest: framing, via: edge.via.clone() };
         let mut held: Option<(usize, Answer)> = None;
+        let mut keep = go_on;
         let fine = loop {
             let order = match orders.pop_front().map(Mail::Order).or_else(|| client.next()) {
                 Some(Mail::Order(order)) => order,
@@ -366,8 +367,8 @@
                     continue;
                 }
             };
-            // What is left of the body would be read as the next RPC.
-            let keep = go_on && rest.walk.ended();
+            // What is left of the body would be read as the next RPC. The order to stop may have come meanwhile.
+            keep = go_on && rest.walk.ended() && !edge.stopping();
             match order {
                 Order::Pick { pick, node, within, careful, .. } => {
                     if client.gone.load(Ordering::Acquire) {
@@ -429,7 +430,7 @@
         edge.end(id);
         match rest.stopped {
             Some(Unread::Refused(refusal)) => Served::Refuse(refusal),
-            None if fine && rest.walk.ended() && !client.gone.load(Ordering::Acquire) => Served::On,
+            None if fine && keep && rest.walk.ended() && !client.gone.load(Ordering::Acquire) => Served::On,
             _ => Served::Close,
         }
     }
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -8,7 +8,7 @@
 
 use ivydrift_marshal::{Ballot, Input};
 use ivydrift_platform::desk::{self, Line};
-use ivydrift_platform::members::LIST_BYTES;
+use ivydrift_platform::members::{Catalog, LIST_BYTES};
 use ivydrift_sockets::coroutine::{go, pause};
 use ivydrift_sockets::Socket;
 use ivydrift_wire::desk::{Counted, Disputed, News, Stage, Sums, Vote, VoteAnswer};
@@ -32,9 +32,13 @@
         let Some(platform) = edge.dialect.platform() else { return };
         let places = edge.live().places;
         let mut asker = Asker::new(places.node_list, edge.number);
-        let mut again = true;
+        // Where the list has moved, its revisions may be others.
+        let (mut again, mut whole) = (true, moves > 0);
         loop {
-            let path = platform.catalog.lock().unwrap().path(HOLD.as_millis() as u64);
+            let path = match whole {
+                true => Catalog::default().path(0),
+                false => platform.catalog.lock().unwrap().path(HOLD.as_millis() as u64),
+            };
             let answer = asker.ask("GET", &path, b"", LIST_BYTES, HOLD + SLACK);
             if edge.moves.load(Ordering::Acquire) != moves {
                 return; // The list has moved, and is followed there.
@@ -47,7 +51,7 @@
             });
             match taken {
                 Ok(nodes) => {
-                    again = true;
+                    (again, whole) = (true, false);
                     edge.tell(Input::List(&nodes), 0);
                     edge.complain_of_list();
                 }
--- a/crates/edge/tests/hard/main.rs
+++ b/crates/edge/tests/hard/main.rs
@@ -4,4 +4,5 @@
 mod clients;
 mod machine;
 mod nodes;
+mod platform;
 mod scene;
--- /dev/null
+++ b/crates/edge/tests/hard/platform.rs
@@ -0,0 +1,430 @@
+//! The second dialect on sockets: the operators' platform as it speaks, and as it misspeaks.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+
+use crate::scene::*;
+
+const FILE: &str = include_str!("../../../platform/tests/start.json");
+
+/// Members and a desk for these nodes. Watches are held; the desk says `lines` to who follows, then stays.
+struct Platform {
+    members: Node,
+    desk: SocketAddr,
+    follows: Arc<AtomicUsize>,
+    votes: Arc<Mutex<Vec<String>>>,
+}
+
+fn listed(nodes: &[(SocketAddr, u32)]) -> String {
+    let one = |(i, (addr, build)): (usize, &(SocketAddr, u32))| {
+        format!(
+            r#"{{"id":"s-{i}","host_port":"{addr}","locality":"site-a","flavor":"full-1c","cell":1,
+            "phase":"active","size":1.0,"up_since_ms":0,"image_id":{build}}}"#
+        )
+    };
+    let members = nodes.iter().enumerate().map(one).collect::<Vec<_>>().join(",");
+    format!(r#"{{"revision":1,"complete":true,"members":[{members}]}}"#)
+}
+
+fn platform(nodes: &[(SocketAddr, u32)], lines: &'static [&'static str]) -> Platform {
+    let list = listed(nodes);
+    let members = node_of(move |message, stream| {
+        if message.contains("from=1") {
+            std::thread::sleep(ms(2000));
+            return ok(stream, r#"{"revision":1,"complete":false,"members":[]}"#);
+        }
+        ok(stream, &list)
+    });
+    let (follows, votes) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(Vec::new())));
+    let (count, heard) = (follows.clone(), votes.clone());
+    let desk = raw(move |stream| {
+        let mut first = [0; 64];
+        let n = stream.read(&mut first).unwrap_or(0);
+        let said = String::from_utf8_lossy(&first[..n]).into_owned();
+        if said == "follow\r\n" {
+            let nth = count.fetch_add(1, Ordering::SeqCst);
+            say(stream, "OK\r\n* ROLLOUT 1 2 live 1.0 90000\r\n");
+            if nth == 0 && !lines.is_empty() {
+                lines.iter().all(|line| say(stream, line));
+            }
+            while say(stream, "*\r\n") {
+                std::thread::sleep(ms(500));
+            }
+        } else {
+            heard.lock().unwrap().push(said);
+            say(stream, "ERR moot\r\n");
+        }
+    });
+    Platform { members, desk: desk.addr, follows, votes }
+}
+
+/// A node that looks at each message.
+fn node_of(script: impl Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static) -> Node {
+    raw(move |stream| {
+        while let Some(message) = read_message(stream) {
+            if !script(&message, stream) {
+                return;
+            }
+        }
+    })
+}
+
+fn file(listen: SocketAddr, p: &Platform) -> String {
+    FILE.replace("10.0.0.4:5000", &listen.to_string())
+        .replace("10.2.0.1:8500", &p.members.addr.to_string())
+        .replace("10.2.0.2:6400", &p.desk.to_string())
+        .replace("\"revision\": 41", "\"revision\": 0")
+        .replace("\"phase\": \"active\"", "\"phase\": \"left\"")
+        .replace(
+            r#""release": 42, "tranche": 1, "mode": "testing", "exposure": 0.28"#,
+            r#""release": 1, "tranche": 2, "mode": "live", "exposure": 1.0"#,
+        )
+        .replace("\"sockets\": 1024", "\"sockets\": 256")
+}
+
+struct Stage {
+    running: ivydrift_edge::Running,
+    platform: Platform,
+}
+
+impl Stage {
+    fn new(nodes: &[SocketAddr]) -> Self {
+        let nodes: Vec<(SocketAddr, u32)> = nodes.iter().map(|n| (*n, 1)).collect();
+        Self::with(&nodes, &[])
+    }
+
+    fn with(nodes: &[(SocketAddr, u32)], lines: &'static [&'static str]) -> Self {
+        let platform = platform(nodes, lines);
+        let text = file("127.0.0.1:0".parse().unwrap(), &platform);
+        let start = ivydrift_platform::start::read("start.json", &text).unwrap();
+        let running = ivydrift_edge::start_on_platform(start).unwrap();
+        wait_for("the list", ms(3000), || running.nodes() == nodes.len());
+        Stage { running, platform }
+    }
+
+    fn connect(&self) -> TcpStream {
+        connect(self.running.listens)
+    }
+
+    fn ask(&self, text: &str) -> Answer {
+        let mut stream = self.connect();
+        say(&mut stream, text);
+        answer(&mut stream).expect("an answer")
+    }
+}
+
+fn read(id: &str) -> String {
+    format!("GET /calendar-read HTTP/1.1\r\nHost: b\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: 2000\r\n\r\n")
+}
+
+fn book(id: &str) -> String {
+    format!(
+        "POST /pickup-book/7?x=1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: {id}\r\nX-Tenant-Id: wadi-tri\r\n\
+         X-Timeout-Ms: 2000\r\nContent-Length: 4\r\n\r\nslot"
+    )
+}
+
+#[test]
+fn an_rpc_passes_unchanged_and_the_front_hears_that_the_marshal_is_ready() {
+    let fine = good("fine");
+    let stage = Stage::new(&[fine.addr]);
+    assert_eq!(stage.ask("GET /_health HTTP/1.1\r\nHost: b\r\n\r\n").status, 200);
+    let answer = stage.ask(&book("a1"));
+    assert_eq!((answer.status, &*answer.body), (200, "fine"));
+    let seen = fine.seen.lock().unwrap()[0].clone();
+    assert!(
+        seen.starts_with("POST /pickup-book/7?x=1 HTTP/1.1\r\n") && seen.ends_with("\r\n\r\nslot"),
+        "{seen}"
+    );
+    let lower = seen.to_lowercase();
+    assert!(lower.contains("x-request-id: a1\r\n") && !lower.contains("grpc-timeout"), "{seen}");
+    let left: u64 =
+        lower.split("x-timeout-ms: ").nth(1).unwrap().split('\r').next().unwrap().parse().unwrap();
+    assert!((1000..2000).contains(&left), "{left}");
+}
+
+#[test]
+fn an_id_that_was_taken_is_not_sent_again() {
+    let fine = good("fine");
+    let stage = Stage::new(&[fine.addr]);
+    assert_eq!(stage.ask(&book("a1")).status, 200);
+    assert_eq!(stage.ask(&book("a1")).status, 409);
+    assert_eq!(stage.ask(&book("a2")).status, 200);
+    assert_eq!(fine.messages(), 2);
+}
+
+#[test]
+fn nothing_of_what_is_no_rpc_reaches_a_node() {
+    let fine = good("fine");
+    let stage = Stage::new(&[fine.addr]);
+    let head = "POST /pickup-book HTTP/1.1\r\nHost: b\r\nX-Request-ID: a1\r\nX-Timeout-Ms: 2000\r\n";
+    for (text, status) in [
+        (format!("{head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n"), 400),
+        (format!("{head}Content-Length: -4\r\n\r\n"), 400),
+        (format!("{head}Content-Length: 60000000\r\n\r\n{}", "x".repeat(9000)), 413),
+        (head.replace("2000", "soon") + "Content-Length: 0\r\n\r\n", 400),
+        (head.replace("X-Request-ID: a1\r\n", "") + "Content-Length: 0\r\n\r\n", 400),
+        (head.replace("pickup-book", "no-such") + "Content-Length: 0\r\n\r\n", 404),
+        (head.replace("POST", "GET") + "\r\n", 405),
+        ("nonsense\r\n\r\n".to_owned(), 400),
+    ] {
+        assert_eq!(stage.ask(&text).status, status, "{text:.120}");
+    }
+    assert_eq!(fine.messages(), 0);
+}
+
+#[test]
+fn a_spoilt_answer_is_no_answer_and_may_have_run() {
+    for spoilt in [
+        "\x01\x02\x03 noise\r\n\r\n",
+        "HTTP/1.1 OK 200\r\nContent-Length: 1\r\n\r\na",
+        "ICY 200 OK\r\nContent-Length: 1\r\n\r\na",
+        "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\na",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\nContent-Length: 1\r\n\r\na",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\naaaa",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nwithout an end",
+        "HTTP/1.1 204 No\r\n\r\n",
+    ] {
+        let bad = node(Box::new(move |_, s| say(s, spoilt)));
+        let stage = Stage::new(&[bad.addr]);
+        let began = Instant::now();
+        let answer = stage.ask(&book("a1"));
+        assert!((500..600).contains(&answer.status) && answer.status != 503, "{spoilt:?}: {}", answer.status);
+        assert!(answer.field("retry-after").is_none() && began.elapsed() < ms(1000), "{spoilt:?}");
+        assert_eq!(bad.messages(), 1, "{spoilt:?}");
+    }
+    // What brings more than belongs to it is fine, and its connection is not used again.
+    let more = node(Box::new(|nth, s| {
+        say(s, "HTTP/1.1 102 Wait\r\n\r\n") && ok(s, &format!("answer {nth}")) && ok(s, "answer again")
+    }));
+    let stage = Stage::new(&[more.addr]);
+    for nth in 0..6 {
+        assert_eq!(stage.ask(&read(&format!("b{nth}"))).body, format!("answer {nth}"));
+    }
+}
+
+#[test]
+fn what_a_node_turned_away_unseen_goes_to_another() {
+    let full = node(Box::new(|nth, s| {
+        let status = 503 + nth % 2;
+        say(s, &format!("HTTP/1.1 {status} Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"))
+    }));
+    let fine = good("fine");
+    let stage = Stage::new(&[full.addr, fine.addr, nobody()]);
+    for i in 0..30 {
+        assert_eq!(stage.ask(&book(&format!("a{i}"))).status, 200);
+    }
+    assert!(full.messages() > 0);
+}
+
+#[test]
+fn what_cannot_be_served_is_refused_at_once_with_a_time_to_return() {
+    let stage = Stage::new(&[nobody(), nobody()]);
+    for i in 0..4 {
+        let began = Instant::now();
+        let answer = stage.ask(&book(&format!("a{i}")));
+        assert_eq!(answer.status, 503);
+        let after: f64 = answer.field("retry-after").expect("a time to return").parse().unwrap();
+        assert!(after > 0.0 && after <= 2.0, "{after}");
+        assert!(began.elapsed() < ms(1000), "refused after {:?} of 2 s", began.elapsed());
+    }
+}
+
+#[test]
+fn who_never_sends_a_whole_rpc_is_answered_or_closed_within_three_seconds() {
+    let fine = good("fine");
+    let stage = Stage::new(&[fine.addr]);
+    let began = Instant::now();
+    let (mut silent, mut half, mut usual) = (stage.connect(), stage.connect(), stage.connect());
+    say(&mut usual, &read("u1"));
+    assert_eq!(answer(&mut usual).unwrap().status, 200);
+    std::thread::sleep(ms(1500));
+    say(&mut half, "GET /calendar-read HTTP/1.1\r\nX-Pad: y");
+    assert!(closes(&mut silent, ms(3000)), "a silent client is kept");
+    assert_eq!(answer(&mut half).map(|a| a.status), Some(408));
+    assert!(began.elapsed() < ms(2900), "{:?}", began.elapsed());
+    // Who has asked before may rest.
+    say(&mut usual, &read("u2"));
+    assert_eq!(answer(&mut usual).unwrap().status, 200);
+}
+
+#[test]
+fn silent_clients_make_room_for_those_who_ask() {
+    let fine = good("fine");
+    let stage = Stage::new(&[fine.addr]);
+    let silent: Vec<TcpStream> = (0..140).map(|_| stage.connect()).collect();
+    std::thread::sleep(ms(400));
+    let mut asking: Vec<TcpStream> = (0..20).map(|_| stage.connect()).collect();
+    for (i, stream) in asking.iter_mut().enumerate() {
+        say(stream, &read(&format!("a{i}")));
+        assert_eq!(answer(stream).expect("room").status, 200);
+    }
+    drop(silent);
+}
+
+#[test]
+fn a_desk_that_says_what_cannot_be_read_is_asked_anew() {
+    let fine = good("fine");
+    let stage = Stage::with(&[(fine.addr, 1)], &["* ROLLOUT 9 0 tes\x07\r\n"]);
+    wait_for("another follow", ms(3000), || stage.platform.follows.load(Ordering::SeqCst) >= 2);
+    assert_eq!(stage.ask(&read("a1")).status, 200);
+    // A part without its end is no line.
+    let stage = Stage::with(&[(fine.addr, 1)], &["* ROLLOUT 2 0 live 1.0 1"]);
+    std::thread::sleep(ms(300));
+    assert_eq!(stage.ask(&read("a2")).status, 200);
+}
+
+#[test]
+fn votes_go_to_the_desk_as_lines() {
+    let (old, new) = (good("old"), good("new"));
+    let nodes = [(old.addr, 1), (old.addr, 1), (new.addr, 2)];
+    let platform = platform(&nodes, &["* ROLLOUT 2 0 testing 0.14 9000\r\n"]);
+    let text = file("127.0.0.1:0".parse().unwrap(), &platform);
+    let start = ivydrift_platform::start::read("start.json", &text).unwrap();
+    let running = ivydrift_edge::start_on_platform(start).unwrap();
+    wait_for("the list", ms(3000), || running.nodes() >= 2);
+    let mut stream = connect(running.listens);
+    let by = Instant::now() + ms(12_000);
+    let mut i = 0;
+    while platform.votes.lock().unwrap().is_empty() && Instant::now() < by {
+        say(&mut stream, &read(&format!("v{i}")));
+        assert_eq!(answer(&mut stream).unwrap().status, 200);
+        std::thread::sleep(ms(10));
+        i += 1;
+    }
+    assert_eq!(platform.votes.lock().unwrap().first().map(String::as_str), Some("judge 2 0 on\r\n"));
+}
+
+/// A marshal of the platform as a process.
+struct Process {
+    child: Child,
+    listens: SocketAddr,
+    file: std::path::PathBuf,
+}
+
+impl Process {
+    fn start(name: &str, platform: &Platform) -> Self {
+        let listens = free();
+        let path = std::env::temp_dir().join(format!("ivydrift-{name}-{}.json", std::process::id()));
+        std::fs::write(&path, file(listens, platform)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_ivydrift-edge"))
+            .arg("--platform")
+            .env("LB_CONFIG", &path)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let process = Process { child, listens, file: path };
+        wait_for("readiness", ms(5000), || {
+            process.ask("GET /_health HTTP/1.1\r\nHost: b\r\n\r\n") == Some(200)
+        });
+        process
+    }
+
+    fn ask(&self, text: &str) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.listens).ok()?;
+        stream.set_read_timeout(Some(ms(4000))).ok()?;
+        say(&mut stream, text);
+        answer(&mut stream).map(|a| a.status)
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+#[test]
+fn at_a_planned_stop_what_was_taken_is_answered_and_who_still_comes_is_served() {
+    let slow = node(Box::new(|_, s| {
+        std::thread::sleep(ms(1200));
+        ok(s, "late")
+    }));
+    let p = platform(&[(slow.addr, 1)], &[]);
+    let mut process = Process::start("stop", &p);
+    let mut held = connect(process.listens);
+    say(&mut held, &book("held"));
+    let mut idle = connect(process.listens);
+    std::thread::sleep(ms(100));
+    process.signal(Signal::SIGTERM);
+    std::thread::sleep(ms(300));
+    let mut comes = TcpStream::connect(process.listens).expect("new connections keep coming for a while");
+    say(&mut comes, &book("comes"));
+    say(&mut idle, &book("kept"));
+    for stream in [&mut held, &mut comes, &mut idle] {
+        stream.set_read_timeout(Some(ms(4000))).unwrap();
+        let answer = answer(stream).expect("an answer");
+        assert_eq!((answer.status, answer.field("connection")), (200, Some("close")));
+    }
+    assert!(process.child.wait().unwrap().success());
+}
+
+#[test]
+fn a_new_file_moves_list_and_desk_under_load() {
+    let (first, second) = (good("first"), good("second"));
+    let before = platform(&[(first.addr, 1)], &[]);
+    let after = platform(&[(second.addr, 1)], &[]);
+    let process = Process::start("hup", &before);
+    assert_eq!(process.ask(&book("a")), Some(200));
+    std::fs::write(&process.file, file(process.listens, &after)).unwrap();
+    process.signal(Signal::SIGHUP);
+    // The new list's first answer is not a change of the old one's: it is whole, and the first node is gone.
+    wait_for("the move", ms(4000), || {
+        let sent = second.messages();
+        process.ask(&read(&format!("r{}", first.messages() + sent))) == Some(200) && second.messages() > sent
+    });
+    assert!(after.follows.load(Ordering::SeqCst) >= 1);
+    // What cannot be read leaves the running terms in force.
+    std::fs::write(&process.file, "{").unwrap();
+    process.signal(Signal::SIGHUP);
+    std::thread::sleep(ms(200));
+    assert_eq!(process.ask(&book("z")), Some(200));
+}
+
+#[test]
+fn without_its_file_the_marshal_says_what_to_name() {
+    let out = Command::new(env!("CARGO_BIN_EXE_ivydrift-edge"))
+        .arg("--platform")
+        .env_remove("LB_CONFIG")
+        .output()
+        .unwrap();
+    assert_eq!(out.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&out.stderr).contains("LB_CONFIG"));
+}
+
+/// The desk of the old place closes; nothing may hang on it.
+#[test]
+fn a_desk_that_ends_its_connection_is_followed_again() {
+    let fine = good("fine");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let desk = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let follows = count.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            follows.fetch_add(1, Ordering::SeqCst);
+            let _ = stream.write_all(b"OK\r\n* ROLLOUT 1 2 live 1.0 90000\r\n");
+        }
+    });
+    let platform = Platform { desk, ..platform(&[(fine.addr, 1)], &[]) };
+    let text = file("127.0.0.1:0".parse().unwrap(), &platform);
+    let running =
+        ivydrift_edge::start_on_platform(ivydrift_platform::start::read("f", &text).unwrap()).unwrap();
+    wait_for("three follows", ms(4000), || count.load(Ordering::SeqCst) >= 3);
+    wait_for("the list", ms(3000), || running.nodes() == 1);
+}
