Spoilt answers are a question of their own, not errors of the build

Seen: a good build sent back right after its release on soundness of one method (245/262 beside 126/126, also 352/372 beside 347/350). Line at fault: Saw::Garbled counted as Outcome::Error. Now Outcome::Garbled, its own question with pooled variance. Tests: spoilt at any node alike, seen to fail with Garbled as error; a build that spoils most is sent back.

--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -68,7 +68,8 @@
             // Only a refusal can carry the node's word: an ok that "never ran" contradicts itself.
             Saw::Answer { status: 503, never_ran: true, .. } => Outcome::Full,
             Saw::Answer { status, .. } if status < 500 => Outcome::Ok,
-            Saw::Answer { .. } | Saw::Garbled => Outcome::Error,
+            Saw::Answer { .. } => Outcome::Error,
+            Saw::Garbled => Outcome::Garbled,
             Saw::NotSent => Outcome::NoConnection,
             Saw::Broken => Outcome::Reset,
             Saw::TimedOut => Outcome::Timeout,
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -146,7 +146,7 @@
     fn learn(&mut self, now: Duration, outcome: Outcome, took: f64) {
         let failed = match outcome {
             Outcome::Ok => 0.0,
-            Outcome::Error | Outcome::Timeout => 1.0,
+            Outcome::Error | Outcome::Garbled | Outcome::Timeout => 1.0,
             Outcome::Reset | Outcome::NoConnection => 3.0,
             Outcome::Full | Outcome::Cancelled | Outcome::Moot => return, // Full is not ill.
         };
@@ -639,6 +639,9 @@
                 if matches!(outcome, Outcome::Ok | Outcome::Error) {
                     ledger.sound.add(Tally::one(ok), 1.0);
                 }
+                if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Garbled) {
+                    ledger.whole.add(Tally::one(outcome != Outcome::Garbled), 1.0);
+                }
                 let fair = at >= self.relieved && !young(&entry, at);
                 if fair && !outcome.never_ran() && outcome != Outcome::Cancelled {
                     ledger.paid.add(Tally::one(ok && took <= soft), 1.0);
@@ -646,7 +649,8 @@
                     ledger.times[bin] += Tally::one(ok).good;
                     let calm = &self.before[kind * cx.law.duties.len() + method];
                     // Its time says nothing of strain where it erred, nor that of nodes on trial.
-                    let asked = entry.build < self.newest && outcome != Outcome::Error;
+                    let erred = matches!(outcome, Outcome::Error | Outcome::Garbled);
+                    let asked = entry.build < self.newest && !erred;
                     let edge = calm.edge(CALM, LEAST_SAMPLE / 3.0).filter(|_| asked);
                     if let Some(edge) = edge {
                         self.strain.book(at, method, Tally::one(ok && bin <= edge));
@@ -740,7 +744,8 @@
         released || 4 * self.ready(false) < self.ready(true)
     }
 
-    /// Questions to both arms: payoff, soundness by method, pace, strain; and how many nodes are on trial.
+    /// Questions to both arms: payoff, soundness by method, pace, spoilt answers, strain; and how many nodes are
+    /// on trial.
     fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
         let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()], false);
         let alone = self.alone();
@@ -749,12 +754,13 @@
             false => self.arm(false, self.past.clone(), nodes < 4).0,
         };
         let count = cx.law.duties.len();
-        let mut pairs = vec![Pair::default(); count + 2];
+        let mut pairs = vec![Pair::default(); count + 3];
         let strain =
             |m| [&self.strain.off, &self.strain.lately].map(|t| t.get(m).copied().unwrap_or_default());
         pairs.extend((0..count).map(strain));
         for (i, (n, o)) in new.iter().zip(&old).enumerate() {
             join(&mut pairs[0], &[n.paid, o.paid]);
+            join(&mut pairs[count + 2], &[n.whole, o.whole]);
             // Alone, errors of methods that are not repeated may be those of bad RPCs, and nothing tells.
             if !alone || cx.law.repeatable(i % count) {
                 join(&mut pairs[1 + i % count], &[n.sound, o.sound]);
@@ -807,15 +813,19 @@
         let live = |n: &News| matches!(n.course, Course::Released | Course::OnTrial);
         let Some(news) = self.news.filter(|n| n.build == self.newest && live(n)) else { return };
         let released = news.course == Course::Released;
-        // Questions in order: soundness by method, soundness of all, payoff, pace; with margin and variance.
+        // Questions in order: soundness by method, of all, spoilt answers, payoff, pace; with margin, variance.
         let (mut sound, payoff) = (Pair::default(), pairs.remove(0));
-        let strain = Strain::pool(pairs.split_off(cx.law.duties.len() + 1));
-        let pace = pairs.pop().unwrap_or_default();
+        let strain = Strain::pool(pairs.split_off(cx.law.duties.len() + 2));
+        let (whole, pace) = (pairs.pop().unwrap_or_default(), pairs.pop().unwrap_or_default());
         pairs.iter().for_each(|p| join(&mut sound, p));
         let var = |p: &Pair| p[1].mean() * (1.0 - p[1].mean());
+        // Any node may spoil answers, and the older arm's few are left out with its worst nodes: σ² is that of
+        // both arms if they are alike. Costs power against a build that spoils few.
+        let alike = (whole[0].good + whole[1].good) / (whole[0].n + whole[1].n).max(1e-9);
         let slower = MARGIN[2] + MARGIN[3] / (nodes.max(1) as f64).sqrt();
         let asked: Vec<(Pair, f64, f64)> = (pairs.iter().chain([&sound]))
             .map(|p| (*p, MARGIN[1], var(p)))
+            .chain([(whole, MARGIN[1], alike * (1.0 - alike))])
             .chain([(payoff, MARGIN[0], 0.25), (pace, slower, var(&pace))])
             .collect();
         // Where few of many marshals can send a build back, each must be the surer: any of them may err.
--- a/crates/policy/src/port.rs
+++ b/crates/policy/src/port.rs
@@ -170,6 +170,8 @@
     Ok,
     /// The node said so; it may have run.
     Error,
+    /// What came back is no answer; it may have run. Not the word of the build: any node's connection may spoil one.
+    Garbled,
     /// Turned away unseen; never ran.
     Full,
     /// No answer in time; may have run.
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -338,6 +338,8 @@
 pub struct Ledger {
     pub paid: Tally,
     pub sound: Tally,
+    /// Answers that could be read.
+    pub whole: Tally,
     pub times: [f64; 16],
 }
 
@@ -345,6 +347,7 @@
     pub fn add(&mut self, other: &Ledger, part: f64) {
         self.paid.add(other.paid, part);
         self.sound.add(other.sound, part);
+        self.whole.add(other.whole, part);
         self.times.iter_mut().zip(other.times).for_each(|(a, b)| *a += part * b);
     }
     pub fn faults(&self) -> f64 {
@@ -368,7 +371,7 @@
         self.paid.n = if young { self.paid.n } else { (self.paid.n - 1.0).max(self.paid.good) };
     }
     pub fn forget_lateness(&mut self) {
-        *self = Ledger { sound: self.sound, ..Ledger::default() };
+        *self = Ledger { sound: self.sound, whole: self.whole, ..Ledger::default() };
     }
     /// An answer was found wrong.
     pub fn dispute(&mut self) {
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -283,6 +283,34 @@
     assert!(w.voted(Verdict::Back));
 }
 
+#[test]
+fn answers_spoilt_at_any_node_alike_are_not_held_against_the_build() {
+    for seed in 1..9 {
+        let mut w = on_trial(8);
+        w.seed(seed);
+        w.behave = Box::new(|_, _, _, die| match die % 20 {
+            0 => (Outcome::Garbled, ms(60)),
+            _ => (Outcome::Ok, ms(60)),
+        });
+        w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
+        w.run(ms(12_000), 100);
+        w.tell(2, 2, Course::Released, 1.0, VoteReply::Unasked);
+        w.run(ms(8000), 100);
+        assert!(!w.voted(Verdict::Back), "seed {seed}: {:?}", w.votes);
+    }
+}
+
+#[test]
+fn a_build_that_spoils_most_answers_is_voted_back() {
+    let mut w = on_trial(2);
+    w.behave = Box::new(|e, _, _, die| match e.build == 2 && die % 3 > 0 {
+        true => (Outcome::Garbled, ms(20)),
+        false => (Outcome::Ok, ms(60)),
+    });
+    w.run(ms(30_000), 100);
+    assert!(w.voted(Verdict::Back), "{:?}", w.votes);
+}
+
 #[test]
 fn nodes_lost_after_the_test_by_abstention_are_not_held_against_the_build() {
     let mut w = on_trial(2);
