Clients that rest make room for those who come, and descriptors are shared as needed

Now resting connections make room at any age; a given-up connection carries out nothing that is read of it later (its client sends that elsewhere).

--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -3,7 +3,7 @@
 
 use std::collections::VecDeque;
 use std::io::ErrorKind;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,9 +21,7 @@
 /// A client that takes none of its answer for this long is cut off.
 const SLOW_READER: Duration = Duration::from_secs(10);
 
-/// Where connections run out, those may be closed that have rested this long, or have sent no whole RPC for that
-/// long since they came.
-const RESTED: Duration = Duration::from_millis(2000);
+/// Where connections run out, those that have sent no whole message for this long since they came are closed first.
 const SILENT: Duration = Duration::from_millis(250);
 
 const TOO_SLOW: Refusal = Refusal { status: 408, why: "the message took too long to arrive" };
@@ -33,10 +31,10 @@
 /// One client connection, as the rest of the shell sees it.
 pub struct Client {
     pub look: Look,
-    /// It waits for its client to speak, and may be closed at any time.
-    pub idle: AtomicBool,
-    /// Its client has sent a whole RPC before.
-    pub asked: AtomicBool,
+    /// Where it stands, see [`Stand`].
+    stand: AtomicU8,
+    /// Nothing of a message has come since it came, or came to rest.
+    quiet: AtomicBool,
     pub came: Instant,
     /// When it came to rest, in milliseconds since it came.
     rested: AtomicU64,
@@ -49,6 +47,17 @@
     gone: AtomicBool,
 }
 
+/// Where a connection stands with the messages on it.
+#[derive(Clone, Copy, PartialEq)]
+enum Stand {
+    /// No whole message has come yet.
+    New,
+    Busy,
+    Resting,
+    /// It was closed for another, or for the stop: what is still read of it counts for nothing.
+    GivenUp,
+}
+
 enum Mail {
     Order(Order),
     Gone,
@@ -58,8 +67,8 @@
     fn new(look: Look) -> Self {
         Client {
             look,
-            idle: AtomicBool::new(true),
-            asked: AtomicBool::new(false),
+            stand: AtomicU8::new(Stand::New as u8),
+            quiet: AtomicBool::new(true),
             came: Instant::now(),
             rested: AtomicU64::new(0),
             mail: Mutex::default(),
@@ -71,17 +80,50 @@
 
     fn rest(&self) {
         self.rested.store(self.came.elapsed().as_millis() as u64, Ordering::Relaxed);
-        self.idle.store(true, Ordering::Release);
+        self.quiet.store(true, Ordering::Release);
+        self.turn(Stand::Busy, Stand::Resting);
+    }
+
+    fn turn(&self, from: Stand, to: Stand) -> bool {
+        self.stand.compare_exchange(from as u8, to as u8, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+
+    fn stands(&self, at: Stand) -> bool {
+        self.stand.load(Ordering::Acquire) == at as u8
+    }
+
+    /// The first bytes of a message are here; false where the connection was given up.
+    fn spoken(&self) -> bool {
+        self.quiet.store(false, Ordering::Release);
+        self.turn(Stand::Resting, Stand::Busy) || !self.stands(Stand::GivenUp)
+    }
+
+    /// A whole message is here; false where the connection was given up, and nothing of it may be carried out.
+    fn asked(&self) -> bool {
+        self.turn(Stand::New, Stand::Busy) || self.stands(Stand::Busy)
     }
 
     /// How gladly this connection is given up for another, where it may be: who never asked anything first, then
     /// who has rested longest.
     pub fn spare(&self) -> Option<(bool, Duration)> {
-        let asked = self.asked.load(Ordering::Acquire);
-        let rested = self.came.elapsed() - Duration::from_millis(self.rested.load(Ordering::Relaxed));
-        let least = if asked { RESTED } else { SILENT };
-        let idle = !asked || self.idle.load(Ordering::Acquire);
-        (idle && rested >= least).then_some((!asked, rested))
+        let rested =
+            self.came.elapsed().saturating_sub(Duration::from_millis(self.rested.load(Ordering::Relaxed)));
+        let new = self.stands(Stand::New);
+        (new && rested >= SILENT || self.stands(Stand::Resting)).then_some((new, rested))
+    }
+
+    /// Closes the connection where no message is in hand: a client that has sent one meanwhile sends it again
+    /// elsewhere, so it must not be carried out here as well.
+    pub fn give_up(&self) -> bool {
+        let given = self.turn(Stand::New, Stand::GivenUp) || self.turn(Stand::Resting, Stand::GivenUp);
+        if given {
+            self.look.cut();
+        }
+        given
+    }
+
+    pub fn quiet(&self) -> bool {
+        self.quiet.load(Ordering::Acquire)
     }
 
     /// Takes an order from another coroutine. Cutting off the pick in hand cannot wait for the mail.
@@ -211,6 +253,9 @@
                 Err(Unread::Over) => return false,
                 Err(Unread::Refused(refusal)) => return self.refuse(refusal),
             };
+            if !self.client.asked() {
+                return false;
+            }
             let keep = request.keep_alive && !self.edge.stopping();
             if matches!(&*request.verb, "CONNECT" | "TRACE") {
                 return self.refuse(Refusal { status: 405, why: "this method is not for RPCs" });
@@ -227,7 +272,6 @@
                 Ok(left) => left.map(|left| left.saturating_sub(began.elapsed())),
                 Err(refusal) => return self.refuse(refusal),
             };
-            self.client.asked.store(true, Ordering::Release);
             let by = began + self.edge.bounds().slow_client;
             let rest =
                 Rest { walk, by, held: body.len() as u64, taken: 0, waited: Duration::ZERO, stopped: None };
@@ -255,7 +299,7 @@
     /// The next head, and when its first byte came.
     fn head(&mut self) -> Result<(Request, Instant), Unread> {
         let bounds = self.edge.bounds();
-        let first = bounds.first_message.filter(|_| !self.client.asked.load(Ordering::Acquire));
+        let first = bounds.first_message.filter(|_| self.client.stands(Stand::New));
         let first = first.map(|within| self.client.came + within);
         let limit = |by: Instant| first.map_or(by, |first| by.min(first));
         let mut by = limit(Instant::now() + bounds.idle_client);
@@ -266,7 +310,9 @@
                 self.buf.drain(..2);
             }
             if !self.buf.is_empty() && began.is_none() {
-                self.client.idle.store(false, Ordering::Release);
+                if !self.client.spoken() {
+                    return Err(Unread::Over);
+                }
                 began = Some(Instant::now());
                 by = limit(Instant::now() + bounds.slow_client);
             }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,6 +39,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// The clock coroutine woke this much too late: the process stood still.
 const STALL: Duration = Duration::from_millis(300);
+/// Descriptors for all but clients and nodes: listener, event queue, list, desk, votes, standard streams.
+const OTHERS: usize = 16;
 
 pub struct Edge {
     dialect: Dialect,
@@ -134,6 +136,11 @@
     /// Takes an RPC in hand and hears what to do first.
     fn begin(self: &Arc<Self>, id: Id, client: &Arc<Client>, input: Input) -> Vec<Order> {
         self.inhand.lock().unwrap().insert(id, client.clone());
+        let mut clients = self.clients.lock().unwrap();
+        if self.full(clients.len()) {
+            self.make_room(&mut clients);
+        }
+        drop(clients);
         self.tell(input, id)
     }
 
@@ -185,10 +192,7 @@
     /// Enters a client connection; false where there are too many.
     fn enter(&self, name: u64, client: &Arc<Client>) -> bool {
         let mut clients = self.clients.lock().unwrap();
-        let room = clients.len() < self.bounds().clients || {
-            let spare = clients.iter().filter_map(|(name, c)| Some((c.spare()?, *name))).max();
-            spare.and_then(|(_, name)| clients.remove(&name)).map(|c| c.look.cut()).is_some()
-        };
+        let room = !self.full(clients.len() + 1) || self.make_room(&mut clients);
         if room {
             clients.insert(name, client.clone());
             self.present.store(clients.len(), Ordering::Relaxed);
@@ -196,6 +200,21 @@
         room
     }
 
+    /// So many client connections, or the descriptors with them, are too many. An RPC in hand may need one more, to
+    /// its node.
+    fn full(&self, clients: usize) -> bool {
+        let bounds = self.bounds();
+        let inhand = self.inhand.lock().unwrap().len();
+        let wanted = clients + inhand + bounds.idle_to_nodes.min(1 << 20) + OTHERS;
+        clients > bounds.clients || bounds.descriptors.is_some_and(|most| wanted > most)
+    }
+
+    /// Closes the client connection that is missed least; false where each has a message in hand.
+    fn make_room(&self, clients: &mut HashMap<u64, Arc<Client>>) -> bool {
+        let spare = clients.iter().filter_map(|(name, c)| Some((c.spare()?, *name))).max();
+        spare.and_then(|(_, name)| clients.remove(&name)).is_some_and(|client| client.give_up())
+    }
+
     /// Over how many milliseconds the clients should come back if this marshal goes: clients cannot know how many
     /// others there are. None where all could come at once.
     fn spread_ms(&self) -> Option<u64> {
@@ -233,8 +252,8 @@
 
     fn close_idle_clients(&self) {
         for client in self.clients.lock().unwrap().values() {
-            if client.idle.load(Ordering::Acquire) {
-                client.look.cut();
+            if client.quiet() {
+                client.give_up();
             }
         }
     }
