--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -83,7 +83,7 @@
         longest_body: BODY as u64,
         handshakes: 2000,
         slow_client: Duration::from_millis(2000),
-        idle_client: Duration::from_millis(5000),
+        idle_client: Duration::from_millis(2000),
         first_message: Some(Duration::from_millis(2300)),
         linger: Duration::from_millis(600),
         connect,
