In a crowd of clients answers end the connections, and who rests makes room

Seen in the logs: clients pinned at whatever the bound was (153, 317, 208), 65 to 72 RPCs a second of 190, the rest refused before they came (pushed_back 0, rejected 0). Ruled out: the module, ids taken twice, descriptors (235 of 384). What clients may hold together was used up by those that had their answer. Lines at fault: Edge::enter and keep in clients.rs let any number rest. From a quarter of the descriptors on answers say Connection: close, the one missed least makes room for each newcomer, and those that were told so and stay go first.

--- a/crates/edge/src/clients.rs
+++ b/crates/edge/src/clients.rs
@@ -54,6 +54,8 @@
     New,
     Busy,
     Resting,
+    /// It ends with the answer that it has.
+    Leaving,
     /// It was closed for another, or for the stop: what is still read of it counts for nothing.
     GivenUp,
 }
@@ -103,19 +105,21 @@
         self.turn(Stand::New, Stand::Busy) || self.stands(Stand::Busy)
     }
 
-    /// How gladly this connection is given up for another, where it may be: who never asked anything first, then
-    /// who has rested longest.
-    pub fn spare(&self) -> Option<(bool, Duration)> {
+    /// How gladly this connection is given up for another, where it may be: who has its last answer first, then who
+    /// never asked anything, then who has rested longest.
+    pub fn spare(&self) -> Option<(u8, Duration)> {
         let rested =
             self.came.elapsed().saturating_sub(Duration::from_millis(self.rested.load(Ordering::Relaxed)));
-        let new = self.stands(Stand::New);
-        (new && rested >= SILENT || self.stands(Stand::Resting)).then_some((new, rested))
+        let new = self.stands(Stand::New) && rested >= SILENT;
+        let ranks = [(self.stands(Stand::Leaving), 2), (new, 1), (self.stands(Stand::Resting), 0)];
+        ranks.iter().find(|(may, _)| *may).map(|(_, rank)| (*rank, rested))
     }
 
     /// Closes the connection where no message is in hand: a client that has sent one meanwhile sends it again
     /// elsewhere, so it must not be carried out here as well.
     pub fn give_up(&self) -> bool {
-        let given = self.turn(Stand::New, Stand::GivenUp) || self.turn(Stand::Resting, Stand::GivenUp);
+        let may = [Stand::New, Stand::Resting, Stand::Leaving];
+        let given = may.into_iter().any(|from| self.turn(from, Stand::GivenUp));
         if given {
             self.look.cut();
         }
@@ -190,6 +194,7 @@
         go(move || {
             let mut connection = Connection { edge: &edge, client: &client, socket, buf: Vec::new() };
             if connection.run() {
+                client.stand.store(Stand::Leaving as u8, Ordering::Release);
                 connection.socket.close_gently(Duration::from_millis(500));
             }
             connection.socket.cut();
@@ -414,7 +419,7 @@
                 }
             };
             // What is left of the body would be read as the next RPC. The order to stop may have come meanwhile.
-            keep = go_on && rest.walk.ended() && !edge.stopping();
+            keep = go_on && rest.walk.ended() && !edge.stopping() && !edge.crowded();
             match order {
                 Order::Pick { pick, node, within, careful, .. } => {
                     if client.gone.load(Ordering::Acquire) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -192,6 +192,9 @@
     /// Enters a client connection; false where there are too many.
     fn enter(&self, name: u64, client: &Arc<Client>) -> bool {
         let mut clients = self.clients.lock().unwrap();
+        if clients.len() >= self.bounds().crowd {
+            self.make_room(&mut clients);
+        }
         let room = !self.full(clients.len() + 1) || self.make_room(&mut clients);
         if room {
             clients.insert(name, client.clone());
@@ -200,6 +203,11 @@
         room
     }
 
+    /// So many clients are here that each should leave with its answer.
+    fn crowded(&self) -> bool {
+        self.present.load(Ordering::Relaxed) >= self.bounds().crowd
+    }
+
     /// So many client connections, or the descriptors with them, are too many. An RPC in hand may need one more, to
     /// its node.
     fn full(&self, clients: usize) -> bool {
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -74,16 +74,18 @@
 }
 
 /// What the platform's limits leave the shell. Descriptors go to clients as far as RPCs in hand, which may need one
-/// more each, and idle connections to nodes leave them.
+/// more each, and idle connections to nodes leave them. Clients that ask once and stay would use up what they may
+/// hold, a third, and keep the next from coming: a crowd begins before that.
 fn bounds(sockets: usize, connect: Duration) -> Bounds {
     Bounds {
         clients: sockets,
+        crowd: sockets / 4,
         descriptors: Some(sockets),
         body: BODY,
         longest_body: BODY as u64,
         handshakes: 2000,
         slow_client: Duration::from_millis(2000),
-        idle_client: Duration::from_millis(2000),
+        idle_client: Duration::from_millis(5000),
         first_message: Some(Duration::from_millis(2300)),
         linger: Duration::from_millis(600),
         connect,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -31,6 +31,8 @@
 pub struct Bounds {
     /// Client connections at once; more are closed at once.
     pub clients: usize,
+    /// With so many client connections answers end them, and who rests makes room for who comes.
+    pub crowd: usize,
     /// Descriptors that the process may have, where clients make room for one another by it.
     pub descriptors: Option<usize>,
     /// A body up to this is held, so that the RPC can be sent again; a longer one passes as it comes, once.
@@ -139,6 +141,7 @@
     });
     let bounds = top.block("bounds", |s| Bounds {
         clients: s.whole("clients", Some(10_000), 1..=1_000_000) as usize,
+        crowd: usize::MAX,
         descriptors: None,
         body: s.whole("body_kib", Some(64), 1..=16_384) as usize * 1024,
         longest_body: s.whole("longest_body_kib", Some(65_536), 1..=1 << 30) * 1024,
