A stage's machines are counted against the places that there are now

Checked in the logs: 771 was offered 0.3 s after 770's release, while the nodes from before still stood ready. Line at fault: Judge::newer counts the places then, twice what there are, so begun() waits for 4 machines where 2 come. Test seen to fail without.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -841,8 +841,8 @@
         // Lateness passes with a backlog, which lasts while nodes come and go.
         let late = usize::from(found >= Some(asked.len() - 2));
         let alone = late * usize::from(self.alone());
-        let calm = self.stirred * alone as u32;
-        let (ponder, calm) = (PONDER[late + alone], calm.max((self.relieved + RENEW) * late as u32));
+        let calm = (self.stirred * alone as u32).max((self.relieved + RENEW) * late as u32);
+        let ponder = PONDER[late + alone];
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
         let guilty = self.guilty.is_some_and(|since| cx.now >= since.max(calm) + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25, DELTA);
@@ -889,10 +889,16 @@
     /// When the present stage's machines have all started, as far as the list tells, or must have.
     fn begun(&self, news: News, cx: &Cx) -> Duration {
         let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
-        let due = cx.law.shares.get(news.stage).map_or(1.0, |share| (share * self.places).round().max(1.0));
+        // Nodes from before the last release may have drained only after the trial began.
+        let stay = (self.ready(false) + cx.law.rehearse.map_or(self.ready(true), |_| 0)) as f64;
+        let due = cx
+            .law
+            .shares
+            .get(news.stage)
+            .map_or(1.0, |share| (share * self.places.min(stay)).round().max(1.0));
         let last = trial.filter_map(|b| b.entry.started).max().filter(|_| self.ready(true) as f64 >= due);
-        let late = news.launched + STAGE_LATEST;
-        last.map_or(late, |at| at.clamp(news.launched, late))
+        let (first, late) = (news.launched, news.launched + STAGE_LATEST);
+        last.map_or(late, |at| at.clamp(first, late))
     }
 }
 
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -350,6 +350,21 @@
     assert!(w.voted(Verdict::Back), "{:?}", w.votes);
 }
 
+/// The next build may be offered while the nodes before the last release still drain (churn+long on sockets).
+#[test]
+fn a_stage_s_machines_are_counted_against_the_places_that_there_are() {
+    let mut w = on_trial(8);
+    w.run(ms(3000), 100);
+    w.tell(2, 2, Course::Released, 1.0, VoteReply::Unasked);
+    w.run(ms(200), 100);
+    w.tell(3, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+    (0..8).for_each(|n| w.list(n, 1, Readiness::Gone, None));
+    w.run(ms(2000), 100);
+    (16..18).for_each(|n| w.list(n, 3, Readiness::Ready, Some(w.now)));
+    w.run(ms(4000), 100);
+    assert!(w.votes.iter().any(|v| (v.1, v.3) == (Verdict::On, 3)), "{:?}", w.votes.last());
+}
+
 #[test]
 fn nodes_lost_after_the_test_by_abstention_are_not_held_against_the_build() {
     let mut w = on_trial(2);
