--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -61,8 +61,7 @@
 /// The fleet is crowded when even this part of the latest answers, the quickest, took this part of their soft
 /// deadline (queues delay all alike, far zones, slow methods and ill nodes only some); how many those are.
 const CROWDED: [f64; 3] = [0.25, 0.25, 24.0];
-/// Earlier nodes help in the last stage for this long after room was last cut: until the backlog has passed
-/// and a late build has been seen.
+/// Earlier nodes help in the last stage for this long after room was last cut: a backlog passes meanwhile.
 const RELIEF: Duration = ms(6000);
 /// Own picks in flight always allowed for each unit of power in this marshal's part of the fleet.
 const FAIR: f64 = 2.0;
@@ -453,9 +452,8 @@
     /// A node of the arm of larger index within its limits, then of the other; wary of ill ones first.
     fn choose(&self, r: &Rpc, cx: &Cx) -> Option<(usize, [f64; 2], NodeEntry)> {
         let all = self.arms[0].len() + self.arms[1].len();
-        // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release.
-        // Not in a crowd, as in a burst: idle nodes would stand beside RPCs pushed back, and the build be
-        // held to an arm without load. Harms where only the release shows that the new nodes are too few.
+        // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release. In
+        // a crowd idle nodes would stand beside RPCs pushed back. Harms where the new nodes are too few.
         let rehearsal = cx.now >= self.relief && self.last_stage(cx);
         let [old, new] = self.weights;
         let whole = if rehearsal { new.max(old) } else { new + old };
@@ -891,11 +889,8 @@
         let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
         // Nodes from before the last release may have drained only after the trial began.
         let stay = (self.ready(false) + cx.law.rehearse.map_or(self.ready(true), |_| 0)) as f64;
-        let due = cx
-            .law
-            .shares
-            .get(news.stage)
-            .map_or(1.0, |share| (share * self.places.min(stay)).round().max(1.0));
+        let share = cx.law.shares.get(news.stage).copied().unwrap_or(0.0);
+        let due = (share * self.places.min(stay)).round().max(1.0);
         let last = trial.filter_map(|b| b.entry.started).max().filter(|_| self.ready(true) as f64 >= due);
         let (first, late) = (news.launched, news.launched + STAGE_LATEST);
         last.map_or(late, |at| at.clamp(first, late))
