Tidying on rereading: one process of the tests, one burst, bounds by descriptors in terms

Behaviour and assertions unchanged. The bounds that follow from a number of descriptors are tuned values and leave the platform's package for terms::Bounds, beside the defaults. Who sends an RPC was read in two places (platform::rpc::read and edge::dialect); one line of the module said a count in place in a roundabout way.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -113,14 +113,10 @@
                 left,
                 repeated: fields.get(rpc::EARLIER_TRIES).is_some_and(|n| n != "0"),
             },
-            Dialect::Platform(_) => Call {
-                method: theirs::method_of(target),
-                tenant: fields.get(theirs::TENANT),
-                key: None,
-                tokened: false,
-                left,
-                repeated: fields.get(theirs::RETRIED) == Some("1"),
-            },
+            Dialect::Platform(_) => {
+                let (tenant, repeated) = theirs::sender(fields);
+                Call { method: theirs::method_of(target), tenant, key: None, tokened: false, left, repeated }
+            }
         }
     }
 
--- a/crates/edge/tests/hard/machine.rs
+++ b/crates/edge/tests/hard/machine.rs
@@ -1,23 +1,16 @@
 use std::io::{Read, Write};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::Mutex;
 use std::time::Instant;
 
-use nix::sys::signal::{kill, Signal};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 
 use crate::bodies::{head, take};
+use crate::process::Process;
 use crate::scene::*;
 
 const BINARY: &str = env!("CARGO_BIN_EXE_ivydrift-edge");
 
-/// A marshal as a process, ended with the test.
-struct Process {
-    child: Child,
-    listens: std::net::SocketAddr,
-    file: std::path::PathBuf,
-}
-
 impl Process {
     /// `limit`: descriptors that it may have.
     fn start(name: &str, town: &Town, limit: Option<u32>) -> Self {
@@ -36,10 +29,6 @@
         Process { child, listens, file }
     }
 
-    fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
-    }
-
     /// Stops it and waits until every thread stands still: on a busy machine the stop begins only when the thread
     /// that takes the signal is run, and the others go on until then.
     fn stand_still(&self) {
@@ -70,14 +59,6 @@
     }
 }
 
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
-}
-
 #[test]
 fn told_to_stop_it_finishes_what_it_holds_and_takes_nothing_new() {
     let slow = node(Box::new(|_, s| {
--- a/crates/edge/tests/hard/main.rs
+++ b/crates/edge/tests/hard/main.rs
@@ -5,4 +5,5 @@
 mod machine;
 mod nodes;
 mod platform;
+mod process;
 mod scene;
--- a/crates/edge/tests/hard/platform.rs
+++ b/crates/edge/tests/hard/platform.rs
@@ -2,14 +2,14 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use nix::sys::signal::{kill, Signal};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 
+use crate::process::Process;
 use crate::scene::*;
 
 const FILE: &str = include_str!("../../../platform/tests/start.json");
@@ -322,15 +322,8 @@
     assert_eq!(platform.votes.lock().unwrap().first().map(String::as_str), Some("judge 2 0 on\r\n"));
 }
 
-/// A marshal of the platform as a process.
-struct Process {
-    child: Child,
-    listens: SocketAddr,
-    file: std::path::PathBuf,
-}
-
 impl Process {
-    fn start(name: &str, platform: &Platform) -> Self {
+    fn on_platform(name: &str, platform: &Platform) -> Self {
         let listens = free();
         let path = std::env::temp_dir().join(format!("ivydrift-{name}-{}.json", std::process::id()));
         std::fs::write(&path, file(listens, platform)).unwrap();
@@ -353,18 +346,6 @@
         say(&mut stream, text);
         answer(&mut stream).map(|a| a.status)
     }
-
-    fn signal(&self, signal: Signal) {
-        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
-    }
 }
 
 #[test]
@@ -374,7 +355,7 @@
         ok(s, "late")
     }));
     let p = platform(&[(slow.addr, 1)], &[]);
-    let mut process = Process::start("stop", &p);
+    let mut process = Process::on_platform("stop", &p);
     let mut held = connect(process.listens);
     say(&mut held, &book("held"));
     let mut idle = connect(process.listens);
@@ -397,7 +378,7 @@
     let (first, second) = (good("first"), good("second"));
     let before = platform(&[(first.addr, 1)], &[]);
     let after = platform(&[(second.addr, 1)], &[]);
-    let process = Process::start("hup", &before);
+    let process = Process::on_platform("hup", &before);
     assert_eq!(process.ask(&book("a")), Some(200));
     std::fs::write(&process.file, file(process.listens, &after)).unwrap();
     process.signal(Signal::SIGHUP);
--- a/crates/platform/src/rpc.rs
+++ b/crates/platform/src/rpc.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ivydrift_wire::http::{Framing, HeadWriter, Refusal, Request, Response};
+use ivydrift_wire::http::{Fields, Framing, HeadWriter, Refusal, Request, Response};
 use ivydrift_wire::orca::Metrics;
 
 use crate::start::BODY;
@@ -37,6 +37,11 @@
     path.trim_start_matches('/').split('/').next().unwrap_or("")
 }
 
+/// Whose RPC it is, and whether the client says that it tried before.
+pub fn sender(fields: &Fields) -> (Option<&str>, bool) {
+    (fields.get(TENANT), fields.get(RETRIED) == Some("1"))
+}
+
 pub fn asks_health(request: &Request) -> bool {
     request.verb == "GET" && request.target == HEALTH
 }
@@ -67,8 +72,8 @@
         Some(true) if request.framing != Framing::Length(0) => return refuse(400, "a GET has no body here"),
         Some(_) => {}
     }
-    let repeated = request.fields.get(RETRIED) == Some("1");
-    Ok(Ask { id, method: method_of(&request.target), tenant: request.fields.get(TENANT), left, repeated })
+    let (tenant, repeated) = sender(&request.fields);
+    Ok(Ask { id, method: method_of(&request.target), tenant, left, repeated })
 }
 
 /// A node's answer as status, its word that the RPC never ran, and its load report.
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -1,12 +1,10 @@
 //! The file that a marshal is started with, `LB_CONFIG`, and read again at each SIGHUP.
 
-use std::net::SocketAddr;
-use std::time::Duration;
-
 use ivydrift_facts::Facts;
 use ivydrift_terms::{Bounds, Places, Terms};
 use ivydrift_wire::desk::Stage;
 use serde_json::Value;
+use std::net::SocketAddr;
 
 use crate::{desk, members};
 
@@ -68,38 +66,16 @@
     let Facts { terms: mut rollout, methods, tenants, zones, kinds, connect, .. } = facts;
     // Marshals of the platform have no way to one another here.
     rollout.limits.peers = false;
-    let bounds = bounds(sockets as usize, connect);
+    let bounds = Bounds::by_descriptors(sockets as usize, BODY, connect);
     let terms = Terms { places, bounds, rollout, methods, tenants, zones, kinds };
     Ok(Start { terms, known, news })
 }
 
-/// What the platform's limits leave the shell. Descriptors go to clients as far as RPCs in hand, which may need one
-/// more each, and idle connections to nodes leave them. Clients that ask once and stay would use up what they may
-/// hold, a third, and keep the next from coming: a crowd begins before that.
-fn bounds(sockets: usize, connect: Duration) -> Bounds {
-    Bounds {
-        clients: sockets,
-        crowd: sockets / 4,
-        descriptors: Some(sockets),
-        body: BODY,
-        longest_body: BODY as u64,
-        handshakes: 2000,
-        slow_client: Duration::from_millis(2000),
-        idle_client: Duration::from_millis(5000),
-        first_message: Some(Duration::from_millis(2300)),
-        linger: Duration::from_millis(600),
-        connect,
-        idle_to_node: 16,
-        idle_to_nodes: sockets / 8,
-        reserve: Duration::from_millis(20),
-        workers: 1,
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
     use ivydrift_policy::port::*;
+    use std::time::Duration;
 
     pub const FILE: &str = include_str!("../tests/start.json");
 
@@ -133,14 +109,4 @@
         assert!(found.contains("limits.sockets"), "{found}");
         assert!(read("start.json", "{\n  oh\n}").err().unwrap().starts_with("start.json:2:"));
     }
-
-    #[test]
-    fn descriptors_suffice_for_a_third_of_clients_with_a_pick_each() {
-        for sockets in [256, 1024] {
-            assert!(
-                2 * (sockets / 3) + bounds(sockets, Duration::ZERO).idle_to_nodes + 16 <= sockets,
-                "{sockets}"
-            );
-        }
-    }
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -888,12 +888,13 @@
     fn begun(&self, news: News, cx: &Cx) -> Duration {
         let trial = self.books.iter().filter(|b| b.ready && b.entry.build == news.build);
         // Nodes from before the last release may have drained only after the trial began.
-        let stay = (self.ready(false) + cx.law.rehearse.map_or(self.ready(true), |_| 0)) as f64;
+        let successors = if cx.law.rehearse.is_none() { self.ready(true) } else { 0 };
+        let stay = (self.ready(false) + successors) as f64;
         let share = cx.law.shares.get(news.stage).copied().unwrap_or(0.0);
         let due = (share * self.places.min(stay)).round().max(1.0);
         let last = trial.filter_map(|b| b.entry.started).max().filter(|_| self.ready(true) as f64 >= due);
-        let (first, late) = (news.launched, news.launched + STAGE_LATEST);
-        last.map_or(late, |at| at.clamp(first, late))
+        let late = news.launched + STAGE_LATEST;
+        last.map_or(late, |at| at.clamp(news.launched, late))
     }
 }
 
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -227,13 +227,13 @@
     assert!(new > 0.9, "the new nodes got {new} of the picks");
 }
 
-/// Nodes answer one RPC after the other, each in this time.
-fn queues(w: &mut World, work: u64) {
+/// Nodes answer one RPC after the other, each in the time that its build needs.
+fn queues(w: &mut World, work: impl Fn(Build) -> u64 + 'static) {
     let busy = std::cell::RefCell::new(std::collections::BTreeMap::<NodeIx, std::time::Duration>::new());
     w.behave = Box::new(move |e, _, now, _| {
         let mut busy = busy.borrow_mut();
         let free = busy.entry(e.node).or_default();
-        *free = now.max(*free) + ms(work);
+        *free = now.max(*free) + ms(work(e.build));
         (Outcome::Ok, *free - now)
     });
 }
@@ -241,7 +241,7 @@
 #[test]
 fn the_rehearsal_ends_where_the_new_nodes_alone_cannot_take_the_load() {
     let mut w = on_trial(8);
-    queues(&mut w, 40);
+    queues(&mut w, |_| 40);
     w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
     w.run(ms(6000), 120);
     // A burst, more than eight nodes can do and less than sixteen.
@@ -255,16 +255,21 @@
     assert!(!w.voted(Verdict::Back), "a build was sent back for the load that it alone was given");
 }
 
-#[test]
-fn what_the_new_nodes_met_alone_in_a_burst_is_not_held_against_the_build() {
-    let mut w = on_trial(3);
-    queues(&mut w, 40);
+/// A burst strikes as the last stage's machines come; a good build's three first ones are warm.
+fn burst_in_the_last_stage(w: &mut World, work: u64, span: u64, rate: u64) {
+    queues(w, move |_| work);
     w.run(ms(6000), 60);
     w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
     (11..16).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
     w.run(ms(400), 60);
-    w.run(ms(7000), 280);
+    w.run(ms(span), rate);
     w.run(ms(4000), 60);
+}
+
+#[test]
+fn what_the_new_nodes_met_alone_in_a_burst_is_not_held_against_the_build() {
+    let mut w = on_trial(3);
+    burst_in_the_last_stage(&mut w, 40, 7000, 280);
     assert!(!w.voted(Verdict::Back), "{:?}", w.votes);
 }
 
@@ -273,13 +278,7 @@
     for seed in 1..9 {
         let mut w = on_trial(3);
         w.seed(seed);
-        queues(&mut w, 60);
-        w.run(ms(6000), 60);
-        w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
-        (11..16).for_each(|n| w.list(n, 2, Readiness::Ready, Some(w.now)));
-        w.run(ms(400), 60);
-        w.run(ms(6000), 200);
-        w.run(ms(4000), 60);
+        burst_in_the_last_stage(&mut w, 60, 6000, 200);
         assert!(!w.voted(Verdict::Back), "seed {seed}: {:?}", w.votes);
     }
 }
@@ -310,13 +309,7 @@
 #[test]
 fn a_build_too_slow_for_the_load_of_the_release_is_found_out_beside_the_earlier_nodes() {
     let mut w = on_trial(8);
-    let slow = std::cell::RefCell::new(std::collections::BTreeMap::<NodeIx, std::time::Duration>::new());
-    w.behave = Box::new(move |e, _, now, _| {
-        let mut busy = slow.borrow_mut();
-        let free = busy.entry(e.node).or_default();
-        *free = now.max(*free) + ms(if e.build == 2 { 100 } else { 40 });
-        (Outcome::Ok, *free - now)
-    });
+    queues(&mut w, |build| if build == 2 { 100 } else { 40 });
     w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
     w.run(ms(15_000), 120);
     assert!(w.voted(Verdict::Back));
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -61,6 +61,31 @@
     pub workers: usize,
 }
 
+impl Bounds {
+    /// What so many descriptors leave the shell, where nothing else is told. They go to clients as far as RPCs in hand,
+    /// which may need one more each, and idle connections to nodes leave them. Clients that ask once and stay would
+    /// use up what they may hold, a third, and keep the next from coming: a crowd begins before that.
+    pub fn by_descriptors(descriptors: usize, body: usize, connect: Duration) -> Bounds {
+        Bounds {
+            clients: descriptors,
+            crowd: descriptors / 4,
+            descriptors: Some(descriptors),
+            body,
+            longest_body: body as u64,
+            handshakes: 2000,
+            slow_client: Duration::from_millis(2000),
+            idle_client: Duration::from_millis(5000),
+            first_message: Some(Duration::from_millis(2300)),
+            linger: Duration::from_millis(600),
+            connect,
+            idle_to_node: 16,
+            idle_to_nodes: descriptors / 8,
+            reserve: Duration::from_millis(20),
+            workers: 1,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub places: Places,
@@ -326,4 +351,15 @@
         let twice = complaints(&format!("{EXAMPLE}\nmarshal {{\n}}\n")).join("\n");
         assert!(twice.contains("marshal stands twice"), "{twice}");
     }
+
+    #[test]
+    fn descriptors_suffice_for_a_third_of_clients_with_a_pick_each() {
+        for sockets in [256, 1024] {
+            assert!(
+                2 * (sockets / 3) + Bounds::by_descriptors(sockets, 1, Duration::ZERO).idle_to_nodes + 16
+                    <= sockets,
+                "{sockets}"
+            );
+        }
+    }
 }
