--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -332,6 +332,31 @@
     }
 }
 
+#[test]
+fn a_node_that_spoils_its_answers_loses_its_traffic() {
+    let mut w = World::new(terms(), 8);
+    w.behave = Box::new(|e, _, _, _| match e.node == 3 {
+        true => (Outcome::Garbled, ms(5)),
+        false => (Outcome::Ok, ms(60)),
+    });
+    w.run(ms(6000), 100);
+    let late: Vec<_> = w.sends.iter().filter(|s| s.0 > w.now - ms(3000)).collect();
+    let there = late.iter().filter(|s| s.1.node == 3).count();
+    assert!(20 * there < late.len(), "{there} of {} picks at the node", late.len());
+}
+
+#[test]
+fn after_a_crowd_in_the_last_stage_lateness_is_looked_at_anew_before_the_vote_on() {
+    let mut w = on_trial(8);
+    queues(&mut w, |build| if build == 2 { 100 } else { 40 });
+    w.run(ms(4500), 60);
+    w.tell(2, 2, Course::OnTrial, 1.0, VoteReply::Unasked);
+    w.run(ms(12_000), 120);
+    let on = w.votes.iter().find(|v| v.1 == Verdict::On && v.2 == 2);
+    assert!(on.is_none(), "a slow build was voted on once what was known of it was void: {on:?}");
+    assert!(w.voted(Verdict::Back));
+}
+
 #[test]
 fn a_build_that_spoils_most_answers_is_voted_back() {
     let mut w = on_trial(2);
