Tests for defences of the platform's shell that none held

Also new: members known from before are used at once and the list is asked all the same (it fails where they are not told; that they are told as Cached makes no difference there, the list is asked first). Still held by none: a send that breaks before its last byte (64 KiB always fit a loopback socket), the second question of the list's watch, room made by an RPC in hand.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -95,3 +95,26 @@
         self.idle.lock().unwrap().values().map(Vec::len).sum()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ivydrift_sockets::coroutine::{go, prepare};
+
+    #[test]
+    fn idle_connections_to_all_nodes_together_are_bounded_and_the_longest_rested_goes() {
+        prepare(2);
+        let (tell, told) = std::sync::mpsc::channel();
+        go(move || {
+            let pool = Pool::new(2, 3, Duration::from_secs(9));
+            let listeners = [0; 4].map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+            let nodes = listeners.each_ref().map(|l| l.local_addr().unwrap());
+            for node in nodes {
+                pool.put(node, Socket::connect(node, Duration::from_secs(1)).unwrap());
+            }
+            let _ = tell.send((pool.len(), nodes.map(|node| pool.take(node, false).is_some())));
+        });
+        let seen = told.recv_timeout(Duration::from_secs(5)).unwrap();
+        assert_eq!(seen, (3, [false, true, true, true]));
+    }
+}
--- a/crates/edge/tests/hard/platform.rs
+++ b/crates/edge/tests/hard/platform.rs
@@ -211,6 +211,34 @@
     }
 }
 
+#[test]
+fn an_answer_longer_than_any_of_the_platform_s_is_spoilt() {
+    let long = node(Box::new(|_, s| {
+        let data = "a".repeat(70_000);
+        say(s, &format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n{data}\r\n0\r\n\r\n"))
+    }));
+    let stage = Stage::new(&[long.addr]);
+    assert_eq!((stage.ask(&book("a1")).status, long.messages()), (502, 1));
+}
+
+#[test]
+fn members_known_from_before_are_used_at_once_and_the_list_is_asked_all_the_same() {
+    let (known, listed) = (good("known"), good("listed"));
+    let platform = platform(&[(listed.addr, 1)], &[]);
+    let text = file("127.0.0.1:0".parse().unwrap(), &platform)
+        .replace("\"phase\": \"left\"", "\"phase\": \"active\"")
+        .replace("10.1.0.18:5000", &known.addr.to_string());
+    let start = ivydrift_platform::start::read("start.json", &text).unwrap();
+    let running = ivydrift_edge::start_on_platform(start).unwrap();
+    assert_eq!(running.nodes(), 1);
+    wait_for("the list", ms(4000), || *platform.members.connections.lock().unwrap() > 0);
+    wait_for("the listed member", ms(3000), || {
+        let mut stream = connect(running.listens);
+        say(&mut stream, &read(&format!("k{}", known.messages())));
+        answer(&mut stream).is_some_and(|a| a.body == "listed")
+    });
+}
+
 #[test]
 fn what_a_node_turned_away_unseen_goes_to_another() {
     let full = node(Box::new(|nth, s| {
