In a crowd short and repeated RPCs pay; full queues and cut picks count as late

Followed on 303 marshals' picks and RPCs by half seconds (a probe in the log, not kept): at 14.5 s clients appear that wait 76 ms ("left p50 76", "room 98", "Timeout: 1043, Ok: 759") and come again at once; by 15.5 s 3,000 of 3,700 RPCs in half a second are their repeats, each sent on, cut off after 76 ms and worked off by a node all the same. Marshals noticed at 19.4 s: `lags` held neither answers of full queues nor picks cut short, so that 24 of them took 5 s to gather ("room 999, edge 7, n 13 ... 23"). From then on queues of work that had been given up were refilled, for a cut pick took no room (`Front::out`).

Each test was seen to fail without its line.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -45,22 +45,24 @@
 /// The most marshals that tell one another directly, and so many log their votes: more would say the same.
 const RING: usize = 8;
 const SERVED_OVER: f64 = 3.0; // Seconds that the served rate is averaged over.
-/// Repeats of picks that may have run: earned per RPC taken, and the most in store.
-const RETRIES: [f64; 2] = [0.2, 20.0];
+/// Repeats of picks that may have run: earned per RPC taken, the seconds' worth in store, its least and most.
+const RETRIES: [f64; 4] = [0.2, 4.0, 2.0, 20.0];
 /// An RPC that errs at so many nodes is bad itself; the repeat that showed it costs nothing.
 const BAD: usize = 2;
 /// The part of the soft deadline that an answer is taken to need before any has come.
 const FIRST_GUESS: f64 = 1.0 / 6.0;
 /// A pick that times out before this part of the soft deadline was cut short by its client.
 const HASTY: f64 = 0.5;
+/// An RPC with less time than its soft deadline is sent by lot: the square of so many times the part of late
+/// picks answered in such time, and never by less than the second figure, or nothing would be learnt.
+const ODDS: [f64; 2] = [2.0, 0.05];
 /// How many answers its kind and zone weigh in a node's pace, and its own at the most.
 const MET: [f64; 2] = [6.0, 12.0];
-/// Each node used should be met this often while an idle connection is kept; the fewest nodes used; seconds
-/// over which the rate of RPCs is averaged.
+/// Each node used is met so often while an idle connection is kept; fewest nodes used; seconds of the rate.
 const KEPT: [f64; 3] = [5.0, 6.0, 10.0];
 /// The fleet is crowded when even this part of the latest answers, the quickest, took this part of their soft
-/// deadline (queues delay all alike, far zones, slow methods and ill nodes only some); how many those are.
-const CROWDED: [f64; 3] = [0.25, 0.25, 24.0];
+/// deadline (queues delay all alike, far zones, ill nodes only some); how many; the part for clients' repeats.
+const CROWDED: [f64; 4] = [0.25, 0.25, 24.0, 0.5];
 /// Earlier nodes help in the last stage for this long after room was last cut: a backlog passes meanwhile.
 const RELIEF: Duration = ms(6000);
 /// Own picks in flight always allowed for each unit of power in this marshal's part of the fleet.
@@ -179,12 +181,6 @@
         (build == news.build && news.course != Course::Released).then_some((news.stage, news.cap))
     }
 
-    /// A key has met a build; an answer of an earlier one that comes later undoes nothing.
-    fn cross(&mut self, key: u64, build: Build) {
-        let met = self.crossed.entry(key).or_default();
-        *met = build.max(*met);
-    }
-
     /// Rule 1 (time left), rule 2 (repeats), rule 3 (drains), rule 5 (exposure), rule 4 (cold).
     fn admits(&self, cx: &Cx, rpc: &Rpc, card: &Card) -> bool {
         (card.ready && cx.now < rpc.until)
@@ -262,19 +258,22 @@
                 }
                 (self.newest, self.new_first, self.starved) = (newest, new_first, starved);
             }
-            Note::Told(Event::Rpc { rpc, method, key, left, .. }) => {
+            Note::Told(Event::Rpc { rpc, method, key, left, repeated, .. }) => {
                 let duty = &cx.law.duties[method];
                 self.gate.taken.entry(method).or_default().push_back(cx.now);
                 self.pulse[0] += 1.0;
-                self.retries = (self.retries + RETRIES[0]).min(RETRIES[1]);
+                let store = RETRIES[0] * RETRIES[1] * self.pulse[0] / self.pulse[1].max(1.0);
+                self.retries += if repeated { 0.0 } else { RETRIES[0] };
+                self.retries = self.retries.min(store.clamp(RETRIES[2], RETRIES[3]));
+                let slim = self.slim(left.as_secs_f64() / duty.soft, repeated, cx);
                 let (soft, until) = (cx.now + secs(duty.soft).min(left), cx.now + left);
                 let rank = soft.saturating_sub(secs(HEAD_START * duty.worth));
                 self.rpcs.insert(rpc, Rpc { method, key, soft, until, rank, ..Rpc::default() });
                 // Where the build's nodes took earlier ones' places, the rest must not be burdened more while
                 // it gets nothing, or the test would show only that: its part is asked to come back.
                 self.spare += if self.starved && cx.law.rehearse.is_none() { self.lent() } else { 0.0 };
-                if self.spare >= 1.0 {
-                    self.spare -= 1.0;
+                if slim || self.spare >= 1.0 {
+                    self.spare -= if slim { 0.0 } else { 1.0 };
                     self.give_up(rpc, cx);
                 } else {
                     self.serve(rpc, cx);
@@ -295,11 +294,8 @@
                         self.rpcs.get(&rpc).and_then(|r| Some((r.key?, r.picks.get(pick)?.entry.build)));
                     left.or(sent).into_iter().for_each(|(key, sent)| self.gate.cross(key, sent.max(build)));
                 }
+                self.heed(rpc, outcome, took, cx);
                 if let Some(r) = self.rpcs.get_mut(&rpc) {
-                    let part = took.as_secs_f64() / cx.law.duties[r.method].soft;
-                    if outcome == Outcome::Ok || outcome == Outcome::Timeout && part > HASTY {
-                        self.lags.times[bin(part)] += 1.0;
-                    }
                     if outcome == Outcome::Ok {
                         self.usual[r.method] += 0.05 * (took.as_secs_f64() - self.usual[r.method]);
                     }
@@ -350,6 +346,7 @@
                 }
                 self.pulse = self.pulse.map(|x| x * (1.0 - step / KEPT[2]));
                 self.pulse[1] += step;
+                self.ghosts.retain(|until| cx.now < *until);
                 let keep = cx.law.exposure.window.max(cx.law.fall_window) + 2 * LOOK;
                 self.gate.forget(cx.now.saturating_sub(keep));
                 cx.put(FRONT, Note::Pump);
@@ -359,28 +356,43 @@
         }
     }
 
-    /// The part of the fleet's power that runs the newest build.
-    fn lent(&self) -> f64 {
-        self.weights[1] / (self.weights[0] + self.weights[1]).max(1e-9)
-    }
-
-    fn out(&self, cx: &Cx) -> f64 {
-        let held = |r: &&Rpc| cx.now < r.soft && r.picks.iter().any(|p| p.out);
-        self.rpcs.values().filter(held).count() as f64
+    /// What a pick's end says of load. One cut short would have taken longer, a full queue takes longest; what
+    /// was given up may still stand in a node's queue, and takes room until its soft deadline.
+    fn heed(&mut self, rpc: RpcIx, outcome: Outcome, took: Duration, cx: &Cx) {
+        let soft = self.rpcs.get(&rpc).map_or(cx.law.least_soft, |r| cx.law.duties[r.method].soft);
+        let part = took.as_secs_f64() / soft;
+        let at = match outcome {
+            Outcome::Ok => bin(part),
+            Outcome::Full => bin(f64::MAX),
+            Outcome::Timeout | Outcome::Cancelled => {
+                self.ghosts.push_back(cx.now + secs(soft).saturating_sub(took));
+                (bin(part) + 1).min(bin(f64::MAX))
+            }
+            _ => return,
+        };
+        self.odds.meet(at, CROWDED[2] / 2.0);
+        if part > HASTY || matches!(outcome, Outcome::Ok | Outcome::Full) {
+            self.lags.meet(at, CROWDED[2]);
+        }
     }
 
-    /// The last stage, beside earlier machines.
-    fn last_stage(&self, cx: &Cx) -> bool {
-        let trial = |n: &News| n.course == Course::OnTrial && Some(n.stage) == cx.law.rehearse;
-        self.gate.news.as_ref().is_some_and(trial)
+    /// Not worth a pick now, by the time left as a part of its soft deadline. Guards against clients that
+    /// leave early and come again at once: in a crowd all nodes would work for them alone. A new RPC of
+    /// normal time always passes. May refuse some whose method is quicker than the others.
+    fn slim(&mut self, left: f64, repeated: bool, cx: &Cx) -> bool {
+        let (odds, draw) = (self.odds.upto(bin(left)), lot(cx.law.seed, cx.now.as_nanos() as u64));
+        let part = (ODDS[0] * odds.mean()).powi(2).max(ODDS[1]);
+        let late = self.lags.edge(CROWDED[3], CROWDED[2] / 6.0).is_some_and(|e| e >= bin(CROWDED[1]));
+        // A client that comes again is a repeat like our own, and spends from the same store.
+        let paid = !repeated || !late || self.retries >= 1.0;
+        let short = left < 1.0 && odds.n >= CROWDED[2] / 6.0 && draw > part;
+        self.retries -= f64::from(u8::from(repeated && late && paid && !short));
+        short || !paid
     }
 
     /// Limits own picks in flight, not below this marshal's part of the fleet: with many marshals a node's
     /// queue grows though each has but one pick there. Guards against overload where time-outs stop no work.
     fn make_room(&mut self, took: Duration, cx: &mut Cx) {
-        if self.lags.times.iter().sum::<f64>() > CROWDED[2] {
-            self.lags.halve();
-        }
         let crowded = self.lags.edge(CROWDED[0], CROWDED[2] / 3.0).is_some_and(|e| e >= bin(CROWDED[1]));
         if crowded && cx.now > self.cut + took {
             if self.last_stage(cx) {
@@ -426,13 +438,12 @@
     fn again(&mut self, rpc: RpcIx, never_ran: bool, cx: &mut Cx) {
         let (r, spent) = (&self.rpcs[&rpc], if never_ran { 0.0 } else { 1.0 });
         let bad = r.picks.iter().filter(|p| p.erred).count() >= BAD;
-        // It errs anywhere, or no repeat may show whether it does: that says nothing of node and build. Only
-        // a first pick was booked.
+        // It errs anywhere, or no repeat may show it: says nothing of node or build. First picks were booked.
         let doubted = bad || (self.retries < spent && cx.law.repeatable(r.method));
         if let Some(&Pick { entry, at, .. }) = r.picks.first().filter(|p| p.erred && doubted) {
             cx.put(JUDGE, Note::Excused { entry, method: r.method, at });
         }
-        self.retries = (self.retries + f64::from(u8::from(bad))).min(RETRIES[1]);
+        self.retries += f64::from(u8::from(bad));
         let in_time = cx.now + secs(0.5 * self.usual[r.method]) < r.until && self.retries >= spent && !bad;
         if in_time && self.cards.iter().any(|c| self.gate.may_repeat(cx, r, &c.entry)) {
             self.retries -= spent;
@@ -470,7 +481,7 @@
         // do, or the marshals without budget would send the cold ones' part to the few warm.
         let split = [0, 1].map(|arm: usize| {
             let part = self.cold[arm] / self.weights[arm].max(1e-9);
-            usize::from(chance(cx.law.seed, self.draws + 8) as f64 / u64::MAX as f64 >= part)
+            usize::from(lot(cx.law.seed, self.draws + 8) >= part)
         });
         let mut charged = None;
         for (wary, apart) in [(true, true), (true, false), (false, false)] {
@@ -693,8 +704,7 @@
         }
     }
 
-    /// A newer build begins its trial. A released one's record becomes the older arm's; one sent back is
-    /// struck.
+    /// A newer build begins its trial. A released one's record becomes the older arm's; else it is struck.
     fn newer(&mut self, build: Build) {
         if build <= self.newest {
             return;
@@ -731,15 +741,13 @@
         (sums, books.len())
     }
 
-    /// Released, or nearly all of the fleet: then the build is watched against the record from before its
-    /// trial.
+    /// Released, or nearly all of the fleet: then it is watched against the record from before its trial.
     fn alone(&self) -> bool {
         let released = self.news.is_some_and(|n| n.build == self.newest && n.course == Course::Released);
         released || 4 * self.ready(false) < self.ready(true)
     }
 
-    /// Questions to both arms: payoff, soundness by method, pace, spoilt answers, strain; and how many nodes
-    /// are on trial.
+    /// Questions to both arms: payoff, soundness by method, pace, spoilt answers, strain; and nodes on trial.
     fn own_pairs(&self, cx: &Cx) -> (Vec<Pair>, usize) {
         let (new, nodes) = self.arm(true, vec![Ledger::default(); self.past.len()], false);
         let alone = self.alone();
@@ -871,13 +879,8 @@
         }
         let teller = cx.law.marshal < RING || verdict == Verdict::Back;
         if self.cast.is_none_or(|(cast, ..)| cast != wish) && teller {
-            let why = found.or(worse(0.4)).map_or(String::new(), |q| {
-                let (p, ..) = asked.get(q).copied().unwrap_or((payoff, 0.0, 0.0));
-                format!(
-                    ", question {q}: {:.0}/{:.0} beside {:.0}/{:.0}",
-                    p[0].good, p[0].n, p[1].good, p[1].n
-                )
-            });
+            let told = |q: usize| beside(&asked.get(q).map_or(payoff, |a| a.0));
+            let why = found.or(worse(0.4)).map_or(String::new(), |q| format!(", question {q}: {}", told(q)));
             cx.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}{why}")));
         }
         self.cast = Some((wish, cx.now, false));
@@ -921,12 +924,6 @@
     }
 }
 
-/// Rings of rings: as few levels as let each marshal tell few others, at any number of marshals.
-fn rings(law: &Charter) -> (usize, u32) {
-    let levels = ((law.marshals.ln() / (RING as f64).ln()).ceil()).max(1.0);
-    ((law.marshals.powf(1.0 / levels) + 1e-6) as usize, levels as u32)
-}
-
 pub struct Marshal {
     cx: Cx,
     nodes: Vec<Node>,
@@ -940,9 +937,9 @@
     pub fn new(terms: &RolloutTerms) -> Self {
         let law = Charter::new(terms);
         let usual = law.duties.iter().map(|d| FIRST_GUESS * d.soft).collect();
-        let front = Front { usual, new_first: true, retries: RETRIES[1], room: f64::MAX, ..Front::default() };
+        let front = Front { usual, new_first: true, retries: RETRIES[2], room: f64::MAX, ..Front::default() };
         let mut judge = Judge::default();
-        judge.lay_out(&law, rings(&law));
+        judge.lay_out(&law, rings(&law, RING));
         let (nodes, scout, beat_at) = (Vec::new(), Scout::default(), Duration::ZERO);
         Marshal { cx: Cx::new(law), nodes, front, judge, scout, beat_at }
     }
@@ -954,7 +951,7 @@
         let soft = self.cx.law.duties.iter().map(|d| FIRST_GUESS * d.soft);
         self.front.usual.extend(soft.skip(self.front.usual.len()));
         self.front.stale = true;
-        self.judge.lay_out(&self.cx.law, rings(&self.cx.law));
+        self.judge.lay_out(&self.cx.law, rings(&self.cx.law, RING));
     }
 
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -362,6 +362,13 @@
         };
         self.times.iter().position(passed).filter(|_| all >= least)
     }
+    /// One more time, among about the latest so many.
+    pub fn meet(&mut self, bin: usize, most: f64) {
+        if self.times.iter().sum::<f64>() > most {
+            self.halve();
+        }
+        self.times[bin] += 1.0;
+    }
     pub fn upto(&self, edge: usize) -> Tally {
         Tally { n: self.times.iter().sum(), good: self.times[..=edge].iter().sum() }
     }
@@ -468,6 +475,12 @@
 }
 
 impl Gate {
+    /// A key has met a build; an answer of an earlier one that comes later undoes nothing.
+    pub fn cross(&mut self, key: u64, build: Build) {
+        let met = self.crossed.entry(key).or_default();
+        *met = build.max(*met);
+    }
+
     /// Books a send, whatever the build's standing: it may be told to be on trial a moment later.
     pub fn book(&mut self, cx: &Cx, method: usize, entry: &NodeEntry) {
         self.sent.entry((entry.build, method)).or_default().push_back(cx.now);
@@ -521,6 +534,10 @@
     pub room: f64,
     pub fair: f64,
     pub lags: Ledger,
+    /// Times of the latest picks of any length, with those cut short.
+    pub odds: Ledger,
+    /// Picks that were given up and may still stand in a node's queue, each until its soft deadline.
+    pub ghosts: Times,
     pub cut: Duration,
     /// Until then the earlier nodes help in the last stage.
     pub relief: Duration,
@@ -535,6 +552,23 @@
         let old = std::mem::replace(&mut self.cards[card.entry.node], card);
         self.stale |= (old.ready, old.resting, old.entry) != (card.ready, card.resting, card.entry);
     }
+    /// The part of the fleet's power that runs the newest build.
+    pub fn lent(&self) -> f64 {
+        self.weights[1] / (self.weights[0] + self.weights[1]).max(1e-9)
+    }
+
+    pub fn out(&self, cx: &Cx) -> f64 {
+        let held = |r: &&Rpc| cx.now < r.soft && r.picks.iter().any(|p| p.out);
+        let ghosts = self.ghosts.iter().filter(|until| cx.now < **until);
+        (self.rpcs.values().filter(held).count() + ghosts.count()) as f64
+    }
+
+    /// The last stage, beside earlier machines.
+    pub fn last_stage(&self, cx: &Cx) -> bool {
+        let trial = |n: &News| n.course == Course::OnTrial && Some(n.stage) == cx.law.rehearse;
+        self.gate.news.as_ref().is_some_and(trial)
+    }
+
     pub fn forget(&mut self, rpc: RpcIx) {
         self.rpcs.remove(&rpc).map(|r| self.waiting.remove(&(r.rank, rpc)));
     }
@@ -679,6 +713,18 @@
     pub level: f64,
 }
 
+/// Rings of rings: as few levels as let each marshal tell few others, at any number of marshals.
+pub fn rings(law: &Charter, most: usize) -> (usize, u32) {
+    let levels = ((law.marshals.ln() / (most as f64).ln()).ceil()).max(1.0);
+    ((law.marshals.powf(1.0 / levels) + 1e-6) as usize, levels as u32)
+}
+
+/// New beside old, for the log.
+pub fn beside(pair: &Pair) -> String {
+    let [new, old] = pair;
+    format!("{:.0}/{:.0} beside {:.0}/{:.0}", new.good, new.n, old.good, old.n)
+}
+
 /// Chance: the hash of the seed and a counter.
 pub fn chance(seed: u64, draw: u64) -> u64 {
     let mut hasher = DefaultHasher::new();
@@ -686,6 +732,11 @@
     hasher.finish()
 }
 
+/// The same as a figure from 0 to 1.
+pub fn lot(seed: u64, draw: u64) -> f64 {
+    chance(seed, draw) as f64 / u64::MAX as f64
+}
+
 pub const fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -625,3 +625,75 @@
     let gap = times.windows(2).map(|t| t[1] - t[0]).max().unwrap().max(w.now - *times.last().unwrap());
     assert!(gap < ms(1500), "it abstained after {gap:?}");
 }
+
+/// One of 300 marshals, whose nodes were all full for a while.
+fn after_full_queues() -> World {
+    let mut w = World::new(RolloutTerms { marshals: 300, ..terms() }, 8);
+    w.run(ms(3000), 20);
+    w.behave = Box::new(|_, _, _, _| (Outcome::Full, ms(5)));
+    w.run(ms(1500), 20);
+    w.behave = Box::new(|_, _, _, _| (Outcome::Ok, ms(60)));
+    w.run(ms(700), 0);
+    assert_eq!(w.owing(), 0);
+    w
+}
+
+#[test]
+fn full_queues_are_a_crowd_though_no_answer_is_late() {
+    let mut w = after_full_queues();
+    let before = w.sends.len();
+    (0..4).for_each(|_| w.offer(0));
+    assert_eq!(w.sends.len() - before, 1, "one of 300 marshals sends one pick at a time into a crowd");
+}
+
+#[test]
+fn a_pick_that_was_given_up_takes_room_until_its_soft_deadline() {
+    let mut w = after_full_queues();
+    w.behave = Box::new(|_, _, _, _| (Outcome::Ok, ms(5000)));
+    let before = w.sends.len();
+    w.offer(0);
+    w.run(ms(400), 0); // It is cut short at 360 ms, to leave time for another.
+    w.offer(0);
+    w.run(ms(1000), 0);
+    let at: Vec<_> = w.sends[before..].iter().map(|s| s.0).collect();
+    assert!(at.len() == 2 && at[1] >= at[0] + ms(600), "{at:?}");
+}
+
+/// RPCs of so much time, five a tick for two seconds; how many were sent in the second of them.
+fn sent_of_500(w: &mut World, left: u64, repeated: bool) -> usize {
+    for _ in 0..2 {
+        w.sends.clear();
+        for _ in 0..50 {
+            (0..5).for_each(|_| w.offer_in(2, ms(left), repeated));
+            w.pass();
+        }
+    }
+    w.sends.len()
+}
+
+#[test]
+fn rpcs_of_little_time_are_not_sent_while_picks_take_longer() {
+    let mut w = World::new(terms(), 8);
+    w.run(ms(3000), 50);
+    w.behave = Box::new(|_, _, _, _| (Outcome::Ok, ms(140)));
+    let sent = sent_of_500(&mut w, 100, false);
+    assert!((1..75).contains(&sent), "{sent} of 250, though none can be answered");
+    let before = w.sends.len();
+    w.offer(0);
+    assert_eq!(w.sends.len(), before + 1, "one of normal time goes out");
+    w.behave = Box::new(|_, _, _, _| (Outcome::Ok, ms(40)));
+    assert!(sent_of_500(&mut w, 100, false) > 200, "quick again, and found out by the few that were sent");
+}
+
+#[test]
+fn what_clients_repeat_is_paid_for_while_answers_are_late() {
+    let mut w = World::new(terms(), 8);
+    w.run(ms(3000), 50);
+    assert_eq!(sent_of_500(&mut w, 900, true), 250, "all while answers are quick");
+    w.behave = Box::new(|_, _, _, _| (Outcome::Ok, ms(200)));
+    let sent = sent_of_500(&mut w, 900, true);
+    assert!(sent < 25, "{sent} repeats of clients");
+    let pushed_back = w.pushed_back.len();
+    w.offer_in(2, ms(900), true);
+    assert_eq!(w.pushed_back.len(), pushed_back + 1, "at once");
+}
--- a/crates/policy/tests/marshal/world.rs
+++ b/crates/policy/tests/marshal/world.rs
@@ -199,14 +199,19 @@
     }
 
     pub fn offer(&mut self, method: usize) {
-        let (rpc, left) = (self.next, ms(1000 + 500 * (method as u64 % 3)));
+        self.offer_in(method, ms(1000 + 500 * (method as u64 % 3)), false);
+    }
+
+    /// From a client that waits so long, and says whether it tried before.
+    pub fn offer_in(&mut self, method: usize, left: Duration, repeated: bool) {
+        let rpc = self.next;
         self.next += 1;
         let key = (self.keys > 0).then(|| 1 + self.roll() % self.keys);
         let bad = self.bad > 0 && self.roll() % 100 < self.bad;
         self.owed.insert(rpc, Owed { method, key, bad, until: self.now + left, picks: vec![] });
         self.taken.push((self.now, method));
         let (tenant, work) = (None, None);
-        self.step(vec![Event::Rpc { rpc, method, tenant, key, left, work, repeated: false }]);
+        self.step(vec![Event::Rpc { rpc, method, tenant, key, left, work, repeated }]);
     }
 
     /// Lets time pass, with RPCs of all methods at a steady rate.
