Votes on that cannot stand together are not cast; those turned away ask by lot

Checked: the configuration says api_rate 16, vote_stands 4 s, on_votes 193 of 321. The log shows 38 taken in the first half second and 8 in each later one: twice the rate at once, then the rate. So at most 16 x (4 + 2) = 96 votes can stand together, and 193 never.

Mended there: a vote on is cast only where as many as it needs can stand; one that was turned away asks again after a quarter to three quarters of a vote's life; one that stands is renewed as it lapses where renewing all is over the rate.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -857,19 +857,19 @@
         let verdict = match found.or(worse(0.4)) {
             Some(_) if guilty => Verdict::Back,
             lean if held || lean.is_some() => Verdict::None, // A vote on is taken back while it leans.
-            _ if ripe && !released && cx.law.by_votes => Verdict::On,
+            // Votes that can never stand together would only keep the desk from those back.
+            _ if ripe && !released && cx.law.by_votes && cx.law.on_votes <= cx.law.standing => Verdict::On,
             _ => return,
         };
-        let (stage, build, gap) = (news.stage, news.build, secs((2.0 * cx.law.vote_gap).max(0.3)));
+        let (stage, build, life) = (news.stage, news.build, cx.law.vote_life);
         let wish = (verdict, stage, build);
+        // Where all marshals' votes are more than the desk takes, one that stands is renewed as it lapses, and
+        // who was turned away asks again by lot: slots for all come too late for the few that are needed.
+        let draw = lot(cx.law.seed, cx.now.as_nanos() as u64);
+        let gap = secs((2.0 * cx.law.vote_gap).max(0.3)).min(life.mul_f64(0.25 + 0.5 * draw));
         let pause = match self.cast.filter(|c| c.0 == wish) {
-            Some((.., counts)) => {
-                if counts {
-                    cx.law.vote_life.mul_f64(0.6)
-                } else {
-                    cx.law.vote_wait.max(gap)
-                }
-            }
+            Some((.., true)) => life.mul_f64(0.6).max(secs(cx.law.vote_gap).min(life)),
+            Some(_) => cx.law.vote_wait.max(gap),
             None => gap,
         };
         let idle =
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -55,6 +55,9 @@
     pub vote_wait: Duration,
     /// Seconds a vote that all marshals together may send.
     pub vote_gap: f64,
+    /// Votes that a vote on needs, and the most that can stand at once: the desk takes twice its rate at once.
+    pub on_votes: f64,
+    pub standing: f64,
     /// The part of all marshals that can send a build back.
     pub back_part: f64,
     pub peers: bool,
@@ -121,6 +124,8 @@
             vote_life: release.vote_life,
             vote_wait: release.vote_wait,
             vote_gap: marshals / release.vote_rate,
+            on_votes: release.on_votes as f64,
+            standing: release.vote_rate * (release.vote_life.as_secs_f64() + 2.0),
             back_part: release.back_votes.max(1) as f64 / marshals,
             peers: limits.peers,
             rehearse: release.shares.len().checked_sub(1).filter(|_| !release.in_place),
--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -697,3 +697,40 @@
     w.offer_in(2, ms(900), true);
     assert_eq!(w.pushed_back.len(), pushed_back + 1, "at once");
 }
+
+/// One of 300 marshals whose desk takes 16 votes a second: 96 of 300 can stand.
+fn few_votes() -> RolloutTerms {
+    let mut terms = RolloutTerms { marshals: 300, ..terms() };
+    (terms.release.vote_rate, terms.release.on_votes, terms.release.back_votes) = (16.0, 180, 75);
+    terms
+}
+
+#[test]
+fn votes_on_that_cannot_stand_together_are_not_cast() {
+    let mut w = on_trial_by(few_votes(), 2);
+    w.run(ms(9000), 100);
+    assert!(w.votes.is_empty(), "{:?}", w.votes);
+    let mut w = on_trial_by(RolloutTerms { marshals: 100, ..few_votes() }, 2);
+    w.marshal.renew(&{
+        let mut terms = RolloutTerms { marshals: 100, ..few_votes() };
+        terms.release.on_votes = 60;
+        terms
+    });
+    w.run(ms(9000), 100);
+    assert!(w.voted(Verdict::On));
+}
+
+#[test]
+fn a_vote_back_that_was_turned_away_is_cast_again_within_its_life() {
+    let mut w = on_trial_by(few_votes(), 2);
+    w.behave = Box::new(|e, _, _, die| match e.build == 2 && die % 2 == 0 {
+        true => (Outcome::Error, ms(20)),
+        false => (Outcome::Ok, ms(60)),
+    });
+    for _ in 0..100 {
+        w.run(ms(100), 100);
+        w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Full);
+    }
+    let back: Vec<_> = w.votes.iter().filter(|v| v.1 == Verdict::Back).map(|v| v.0).collect();
+    assert!(back.len() > 2 && back.windows(2).all(|t| t[1] - t[0] <= ms(3200)), "{back:?}");
+}
