--- a/crates/standin/tests/audit.rs
+++ b/crates/standin/tests/audit.rs
@@ -75,7 +75,13 @@
             method_of(*id).is_some_and(|m| kind(&m) == Repeat::NonIdempotent)
         }
         (Change::ToldToLeaveBefore, Seen::Got { .. }) => line.t > 4_000_000,
-        (Change::WeakerNode, Seen::Up { .. }) => true,
+        // One that never had two picks together while cold would have borne them at any size.
+        (Change::WeakerNode, Seen::Up { node, .. }) => {
+            let cold = line.t..line.t + law.warm_us;
+            let got = |l: &&Line| matches!(&l.seen, Seen::Got { node: n, .. } if n == node);
+            let at: Vec<u64> = lines.iter().filter(got).map(|l| l.t).filter(|t| cold.contains(t)).collect();
+            at.windows(2).any(|w| w[1] - w[0] < law.fall_us)
+        }
         (Change::Toppled, Seen::Up { .. }) => true,
         (Change::CapWithdrawn, Seen::News { course: Course::OnTrial, stage: 0, .. }) => true,
         _ => false,
