--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -738,3 +738,15 @@
     let back: Vec<_> = w.votes.iter().filter(|v| v.1 == Verdict::Back).map(|v| v.0).collect();
     assert!(back.len() > 2 && back.windows(2).all(|t| t[1] - t[0] <= ms(3200)), "{back:?}");
 }
+
+#[test]
+fn repeats_in_store_are_a_part_of_a_marshal_s_own_rpcs() {
+    let mut w = World::new(terms(), 8);
+    w.run(ms(20_000), 5);
+    w.behave = Box::new(|_, _, _, _| (Outcome::Reset, ms(20)));
+    let before = w.sends.len();
+    (0..15).for_each(|_| w.offer(0));
+    w.run(ms(1000), 0);
+    let repeats = w.sends.len() - before - 15;
+    assert!((2..=8).contains(&repeats), "{repeats} repeats by a marshal of five RPCs a second");
+}
