--- a/crates/policy/tests/marshal/cases.rs
+++ b/crates/policy/tests/marshal/cases.rs
@@ -650,6 +650,23 @@
     assert_eq!(w.sends.len() - before, 1, "one of 300 marshals sends one pick at a time into a crowd");
 }
 
+#[test]
+fn picks_whose_clients_left_late_are_a_crowd() {
+    let mut w = World::new(RolloutTerms { marshals: 300, ..terms() }, 8);
+    w.run(ms(3000), 20);
+    w.behave = Box::new(|_, _, _, _| (Outcome::Cancelled, ms(400)));
+    for _ in 0..40 {
+        w.offer(0);
+        w.leave();
+        w.run(ms(100), 0);
+    }
+    w.behave = Box::new(|_, _, _, _| (Outcome::Ok, ms(60)));
+    w.run(ms(700), 0);
+    let before = w.sends.len();
+    (0..4).for_each(|_| w.offer(0));
+    assert_eq!(w.sends.len() - before, 1, "one of 300 marshals sends one pick at a time into a crowd");
+}
+
 #[test]
 fn a_pick_that_was_given_up_takes_room_until_its_soft_deadline() {
     let mut w = after_full_queues();
