--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
 use ivydrift_sockets::listen;
 use ivydrift_terms::{Bounds, Places, Terms};
 use ivydrift_wire::desk::News;
+use ivydrift_wire::peer;
 use may::net::{TcpListener, UdpSocket};
 
 use clients::Client;
@@ -266,6 +267,15 @@
         }
     }
 
+    /// Answers who asks what this marshal knows of the others.
+    fn show_peers(&self, socket: &UdpSocket, to: SocketAddr, first: u16) {
+        let view = self.core.lock().unwrap().peers(self.now(), first);
+        let page = view.and_then(|v| peer::write(peer::Kind::View, self.number as u16, &peer::pack(&v)));
+        if let Some(page) = page {
+            let _ = socket.inner().send_to(&page, to);
+        }
+    }
+
     pub fn counts(&self) -> Counts {
         self.core.lock().unwrap().counts()
     }
@@ -395,11 +405,16 @@
     let edge = edge.clone();
     go(move || {
         let Some(socket) = &edge.peers else { return };
-        let mut datagram = [0; 512];
+        let mut datagram = [0; peer::DATAGRAM_BYTES + 1];
         loop {
             match socket.recv_from(&mut datagram) {
-                Ok((n, _)) => {
-                    edge.tell(Input::Peer(&datagram[..n]), 0);
+                Ok((n, from)) => {
+                    let read = peer::read(&datagram[..n]);
+                    let first = read.filter(|r| r.0 == peer::Kind::Question).and_then(|r| peer::asked(r.2));
+                    match first {
+                        Some(first) => edge.show_peers(socket, from, first),
+                        None => drop(edge.tell(Input::Peer(&datagram[..n]), 0)),
+                    }
                 }
                 Err(_) => pause(Duration::from_millis(5)),
             }
@@ -443,6 +458,7 @@
     /// left unfinished.
     pub fn stop(&self) -> bool {
         self.edge.stop.store(true, Ordering::Release);
+        self.edge.tell(Input::Leaving, 0);
         // Whoever still comes is served, and told to come no more.
         std::thread::sleep(self.edge.bounds().linger);
         self.edge.close.store(true, Ordering::Release);
--- a/crates/ivydrift/src/main.rs
+++ b/crates/ivydrift/src/main.rs
@@ -4,6 +4,7 @@
 mod audit;
 mod day;
 mod marshals;
+mod peers;
 mod table;
 
 use std::path::PathBuf;
@@ -49,6 +50,10 @@
     ///
     /// Exit codes: 0 kept; 1 broken; 2 not a trace.
     Audit(audit::AuditCommand),
+    /// Show what one marshal knows of the others: who is there, and what each says of itself
+    ///
+    /// Exit codes: 0 shown; 1 no answer; 2 the command is wrong.
+    Peers(peers::PeersCommand),
     /// Run one marshal, as ivydrift-edge does
     Edge(ivydrift_edge::command::EdgeCommand),
 }
@@ -59,6 +64,7 @@
         Command::BenchDay(command) => command.run(),
         Command::Check { file, day } => check(&file, day),
         Command::Audit(command) => command.run(),
+        Command::Peers(command) => command.run(),
         Command::Edge(command) => command.run(),
     }
 }
--- /dev/null
+++ b/crates/ivydrift/tests/peers.rs
@@ -0,0 +1,208 @@
+//! Marshals as processes, with a relay on the links between them that does harm, and processes killed, stopped
+//! and started again: what `ivydrift peers` shows of it.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use ivydrift_standin::links::{Fault, Harm, Links};
+use ivydrift_standin::relay::Relay;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::Value;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_ivydrift");
+
+/// Addresses that no other test and no other run on this machine has: a net of 127.0.0.0/8 for each process,
+/// sixteen of it for each fleet.
+fn addresses(fleet: u8, count: usize) -> Vec<SocketAddr> {
+    let pid = std::process::id();
+    let (net, own) = (64 + (pid >> 8 & 127) as u8, pid as u8);
+    let one = |n: usize| SocketAddr::from(([127, net, own, 16 * fleet + 1 + n as u8], 7100));
+    assert!(count < 16 && fleet < 15);
+    (0..count).map(one).collect()
+}
+
+struct Fleet {
+    folder: PathBuf,
+    own: Vec<SocketAddr>,
+    relay: Relay,
+    children: Vec<Option<Child>>,
+}
+
+impl Fleet {
+    fn start((name, index): (&str, u8), count: usize) -> Fleet {
+        let folder = std::env::temp_dir().join(format!("ivydrift-peers-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let own = addresses(index, count);
+        let relay = Relay::new(&own, Links::new(7, vec![])).unwrap();
+        let children = (0..count).map(|_| None).collect();
+        let mut fleet = Fleet { folder, own, relay, children };
+        (0..count).for_each(|n| fleet.launch(n));
+        fleet
+    }
+
+    fn launch(&mut self, number: usize) {
+        let quoted =
+            |all: Vec<SocketAddr>| all.iter().map(|a| format!("\"{a}\"")).collect::<Vec<_>>().join(", ");
+        let (count, own) = (self.own.len(), self.own[number]);
+        // Nobody listens at the list's and the desk's address: they are away all the time.
+        let terms = format!(
+            "zones = [\"a\", \"b\"]\n\
+             marshal {{\n  number = {number}\n  of = {count}\n  zone = \"{}\"\n}}\n\
+             places {{\n  listen = \"{own}\"\n  node_list = \"127.0.0.1:9\"\n  service = \"town\"\n  \
+             release_desk = \"127.0.0.1:9\"\n  peers = [{}]\n}}\n\
+             method \"read\" {{\n  repeat = \"idempotent\"\n  soft_deadline = \"800ms\"\n  deadline = \"3s\"\n}}\n",
+            ["a", "b"][number % 2],
+            quoted(self.relay.told(number, own)),
+        );
+        let file = self.folder.join(format!("edge-{number}.hcl"));
+        std::fs::write(&file, terms).unwrap();
+        let log = std::fs::File::create(self.folder.join(format!("edge-{number}.log"))).unwrap();
+        let mut edge = Command::new(PROGRAM);
+        edge.arg("edge").arg(&file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        self.children[number] = Some(edge.spawn().unwrap());
+    }
+
+    fn kill(&mut self, number: usize) {
+        if let Some(mut child) = self.children[number].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        let child = self.children[number].as_ref().unwrap();
+        kill(Pid::from_raw(child.id() as i32), signal).unwrap();
+    }
+
+    /// State and life of each marshal, as this one shows them.
+    fn shown(&self, by: usize) -> Option<Vec<(String, u64)>> {
+        let out =
+            Command::new(PROGRAM).args(["peers", "--json", &self.own[by].to_string()]).output().unwrap();
+        let view: Value = serde_json::from_slice(&out.stdout).ok()?;
+        assert_eq!(view["marshal"], by);
+        let row = |m: &Value| Some((m["state"].as_str()?.to_owned(), m["life"].as_u64()?));
+        view["members"].as_array()?.iter().map(row).collect()
+    }
+
+    /// Waits until this marshal shows the others so; what it shows at last, where it does not.
+    fn shows(&self, by: usize, within: u64, wanted: impl Fn(&[(String, u64)]) -> bool) {
+        let end = Instant::now() + Duration::from_secs(within);
+        loop {
+            let shown = self.shown(by);
+            if shown.as_ref().is_some_and(|s| wanted(s)) {
+                return;
+            }
+            assert!(Instant::now() < end, "marshal {by} shows {shown:?}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    fn all_see_all(&self, within: u64) {
+        let all = |s: &[(String, u64)]| s.iter().all(|m| m.0 == "alive");
+        (0..self.own.len()).for_each(|by| self.shows(by, within, all));
+    }
+
+    /// How often this marshal's log says that another entered the state.
+    fn logged(&self, by: usize, of: usize, state: &str) -> usize {
+        let log = std::fs::read_to_string(self.folder.join(format!("edge-{by}.log"))).unwrap();
+        let line = |l: &&str| l.contains(&format!("marshal {of}: ")) && l.contains(&format!(" to {state},"));
+        log.lines().filter(line).count()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        (0..self.own.len()).for_each(|n| self.kill(n));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn fault(from: &[usize], to: &[usize], harm: Harm) -> Fault {
+    let none = Duration::ZERO;
+    Fault { at: none, lasts: none, from: from.to_vec(), to: to.to_vec(), both: false, harm }
+}
+
+#[test]
+fn a_killed_marshal_is_found_dead_and_its_restart_a_new_life() {
+    let mut fleet = Fleet::start(("killed", 0), 6);
+    fleet.all_see_all(20);
+    let first = fleet.shown(0).unwrap()[4].1;
+    fleet.kill(4);
+    for by in [0, 1, 2, 3, 5] {
+        fleet.shows(by, 15, |s| s[4].0 == "dead");
+    }
+    fleet.launch(4);
+    fleet.all_see_all(20);
+    assert!(fleet.shown(0).unwrap()[4].1 > first);
+    assert!((0..6).all(|by| (0..6).all(|of| of == 4 || fleet.logged(by, of, "dead") == 0)));
+}
+
+#[test]
+fn a_marshal_told_to_end_says_so() {
+    let fleet = Fleet::start(("told", 1), 4);
+    fleet.all_see_all(20);
+    fleet.signal(2, Signal::SIGTERM);
+    for by in [0, 1, 3] {
+        fleet.shows(by, 5, |s| s[2].0 == "left");
+    }
+}
+
+#[test]
+fn a_marshal_that_stood_still_suspects_nobody_when_it_goes_on() {
+    let fleet = Fleet::start(("still", 2), 6);
+    fleet.all_see_all(20);
+    fleet.signal(3, Signal::SIGSTOP);
+    fleet.shows(0, 15, |s| s[3].0 == "dead");
+    fleet.signal(3, Signal::SIGCONT);
+    fleet.all_see_all(20);
+    let accused = (0..6).filter(|of| *of != 3).map(|of| fleet.logged(3, of, "suspect")).sum::<usize>();
+    assert_eq!(accused, 0);
+}
+
+#[test]
+fn halves_that_are_cut_apart_lose_one_another_and_find_together_again() {
+    let fleet = Fleet::start(("halves", 3), 8);
+    fleet.all_see_all(20);
+    let (left, right) = ([0, 1, 2, 3], [4, 5, 6, 7]);
+    fleet.relay.harm(Fault { both: true, ..fault(&left, &right, Harm::Cut) });
+    let lost = |s: &[(String, u64)], gone: &[usize]| {
+        s.iter().enumerate().all(|(n, m)| (m.0 == "dead") == gone.contains(&n))
+    };
+    left.iter().for_each(|by| fleet.shows(*by, 25, |s| lost(s, &right)));
+    right.iter().for_each(|by| fleet.shows(*by, 25, |s| lost(s, &left)));
+    fleet.relay.heal();
+    fleet.all_see_all(30);
+}
+
+#[test]
+fn one_marshal_that_hears_nobody_convinces_nobody() {
+    let fleet = Fleet::start(("deaf", 4), 6);
+    fleet.all_see_all(20);
+    fleet.relay.harm(fault(&[0, 1, 2, 3, 4, 5], &[5], Harm::Cut));
+    fleet.shows(0, 25, |s| s[5].0 == "dead");
+    for by in 0..5 {
+        assert!((0..5).all(|of| fleet.logged(by, of, "dead") == 0));
+    }
+    fleet.relay.heal();
+    fleet.all_see_all(30);
+}
+
+#[test]
+fn with_a_fifth_of_all_datagrams_lost_repeated_and_late_the_dead_are_found_and_no_other() {
+    let mut fleet = Fleet::start(("lossy", 5), 6);
+    fleet.all_see_all(20);
+    let all = [0, 1, 2, 3, 4, 5];
+    fleet.relay.harm(fault(&all, &all, Harm::Loss(0.2)));
+    fleet.relay.harm(fault(&all, &all, Harm::Repeat(0.2)));
+    fleet.relay.harm(fault(&all, &all, Harm::Reorder(0.2, Duration::from_millis(80))));
+    fleet.kill(1);
+    for by in [0, 2, 3, 4, 5] {
+        fleet.shows(by, 30, |s| s[1].0 == "dead");
+    }
+    for by in [0, 2, 3, 4, 5] {
+        assert!([0, 2, 3, 4, 5].iter().all(|of| fleet.logged(by, *of, "dead") == 0));
+    }
+}
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 
 mod directory;
+mod peers;
 mod rpcs;
 
 use std::collections::BTreeSet;
@@ -22,6 +23,7 @@
 use directory::Directory;
 pub use directory::Rejected;
 pub use ivydrift_policy::port::{Outcome, Repeat};
+use peers::Peers;
 use rpcs::Rpcs;
 
 /// An RPC, by the shell's number; never reused.
@@ -137,6 +139,8 @@
     Voted(Ballot),
     /// A datagram from another marshal.
     Peer(&'a [u8]),
+    /// This marshal is about to stop.
+    Leaving,
     /// Time has passed, see [`Core::due`].
     Tick,
 }
@@ -251,6 +255,9 @@
     desk_heard: bool,
     /// Methods that are taken now: earlier terms may have had more, of which RPCs are still in hand.
     offered: Vec<String>,
+    /// The other marshals; none before the first call, and where the terms allow no peers.
+    peers: Option<Peers>,
+    begun: bool,
 }
 
 /// Names that terms may bring in over a marshal's life, of a kind: each keeps its index until a restart.
@@ -294,6 +301,8 @@
             early: None,
             desk_heard: false,
             offered: terms.methods.clone(),
+            peers: None,
+            begun: false,
             terms,
         }
     }
@@ -326,7 +335,7 @@
         let here = new.zones.get(new.rollout.zone).cloned();
         let (methods, kept) = merged(&now.methods, new.methods, std::mem::take(&mut new.rollout.methods));
         let (tenants, quotas) = merged(&now.tenants, new.tenants, std::mem::take(&mut new.rollout.tenants));
-        let (zones, _) = merged(&now.zones, new.zones.clone(), new.zones);
+        let (zones, kept_regions) = merged(&now.zones, new.zones, new.regions);
         let (kinds, _) = merged(&now.kinds, new.kinds.clone(), new.kinds);
         if [&methods, &tenants, &zones, &kinds].iter().any(|names| names.len() > MOST_NAMES) {
             return Err(format!("more than {MOST_NAMES} names since the start; restart this marshal"));
@@ -340,11 +349,25 @@
         let (count, old) = (kinds.len(), new.rollout);
         let rollout =
             RolloutTerms { methods: method_terms, tenants: tenant_terms, kinds: count, zone, ..old };
+        // A zone that the new terms do not name is a region of its own.
+        let lone = |z: usize| zones.len() + z;
+        let regions = (0..zones.len()).map(|z| kept_regions[z].unwrap_or(lone(z))).collect();
         self.directory.rename(&zones, &kinds);
-        self.terms =
-            Terms { places: new.places, bounds: new.bounds, rollout, methods, tenants, zones, kinds };
+        self.terms = Terms {
+            places: new.places,
+            bounds: new.bounds,
+            rollout,
+            methods,
+            tenants,
+            zones,
+            regions,
+            kinds,
+        };
         self.offered = offered;
         self.policy.renew(&self.terms.rollout);
+        if let Some(peers) = &mut self.peers {
+            peers.resize(&self.terms);
+        }
         Ok(())
     }
 
@@ -370,12 +393,17 @@
         let wake = self.wakes.first().map(|w| w.0);
         let overdue = self.rpcs.first_overdue();
         let early = self.early.as_ref().map(|e| e.0 + DESK_PATIENCE);
-        wake.into_iter().chain(overdue).chain(early).min().unwrap_or(Duration::ZERO)
+        let peers = self.peers.as_ref().map(Peers::due);
+        wake.into_iter().chain(overdue).chain(early).chain(peers).min().unwrap_or(Duration::ZERO)
     }
 
     pub fn handle(&mut self, now: Duration, input: Input) -> Vec<Order> {
         let mut orders = Vec::new();
         let mut events = Vec::new();
+        if !std::mem::replace(&mut self.begun, true) {
+            // The shell's zero lies the same span before each start: a later start has a later one.
+            self.peers = Peers::new(&self.terms, self.zero_ms, now);
+        }
         self.read(now, input, &mut events, &mut orders);
         // The module wants a first call before anything else, to set its timers.
         while self.act(now, std::mem::take(&mut events), &mut events, &mut orders) {}
@@ -432,13 +460,22 @@
             }
             Input::Voted(ballot) => events.extend(self.voted(ballot)),
             Input::Peer(datagram) => {
-                if let Some((from, text)) = peer::read(datagram) {
-                    let from = usize::from(from);
-                    if from < self.terms.rollout.marshals && from != self.terms.rollout.marshal {
-                        events.push(Event::Peer { from, text: text.to_vec() });
+                let terms = &self.terms.rollout;
+                let other = |from| from < terms.marshals && from != terms.marshal;
+                let read = peer::read(datagram).filter(|(_, from, _)| other(usize::from(*from)));
+                match (read, &mut self.peers) {
+                    (Some((peer::Kind::Policy, from, text)), _) => {
+                        events.push(Event::Peer { from: from.into(), text: text.to_vec() });
                     }
+                    (Some((peer::Kind::Members, from, bytes)), Some(peers)) => {
+                        orders.extend(peers.hear(now, from, bytes));
+                    }
+                    _ => {}
                 }
             }
+            Input::Leaving => {
+                orders.extend(self.peers.as_mut().into_iter().flat_map(|p| p.leave(now)));
+            }
             Input::Tick => {
                 if self.early.as_ref().is_some_and(|e| now >= e.0 + DESK_PATIENCE) {
                     let (course, reply) = (Course::Released, VoteReply::Unasked);
@@ -453,6 +490,10 @@
                     self.wakes.remove(&(at, tag));
                     events.push(Event::Timer { tag });
                 }
+                let about = self.about();
+                if let Some(peers) = &mut self.peers {
+                    orders.extend(peers.tick(now, about, self.counts.rpcs));
+                }
                 for id in self.rpcs.overdue(now) {
                     self.overdue(now, id, events, orders);
                 }
@@ -460,6 +501,18 @@
         }
     }
 
+    fn about(&self) -> peer::About {
+        let zone = self.terms.rollout.zone;
+        let region = self.terms.regions.get(zone).copied().unwrap_or(0);
+        let ready = self.directory.ready().min(u16::MAX.into()) as u16;
+        peer::About { zone: zone as u16, region: region as u16, rate: 0.0, ready }
+    }
+
+    /// A page of what this marshal knows of the others; none where the terms allow no peers.
+    pub fn peers(&self, now: Duration, first: u16) -> Option<peer::View> {
+        self.peers.as_ref().map(|p| p.view(now, first))
+    }
+
     fn take(&mut self, now: Duration, id: Id, call: Call, events: &mut Vec<Event>, orders: &mut Vec<Order>) {
         let known = self.terms.methods.iter().position(|m| m == call.method);
         let Some(method) = known.filter(|_| self.offered.iter().any(|m| m == call.method)) else {
@@ -649,7 +702,7 @@
 
     fn tell(&self, to: Option<usize>, text: &[u8], orders: &mut Vec<Order>) {
         let own = self.terms.rollout.marshal;
-        let Some(datagram) = peer::write(own as u16, text) else { return };
+        let Some(datagram) = peer::write(peer::Kind::Policy, own as u16, text) else { return };
         let all = 0..self.terms.places.peers.len();
         for to in all.filter(|&n| n != own && to.is_none_or(|one| one == n)) {
             orders.push(Order::Tell { to, datagram: datagram.clone() });
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -189,6 +189,16 @@
         }
     }
 
+    /// There are more or fewer members now.
+    pub fn resize(&mut self, count: Number) {
+        self.count = count.max(self.me.saturating_add(1));
+        self.table.resize(self.count);
+        let count = self.count;
+        self.suspects.retain(|n| *n < count);
+        self.round.retain(|n| *n < count);
+        self.probe = self.probe.take().filter(|p| p.target < count);
+    }
+
     /// Our record from now on. It goes out as soon as the fleet's rate of versions allows.
     ///
     /// # Errors
--- a/crates/members/src/table.rs
+++ b/crates/members/src/table.rs
@@ -87,6 +87,12 @@
         self.entries.get_mut(usize::from(number))
     }
 
+    pub fn resize(&mut self, count: Number) {
+        self.entries.resize_with(count.into(), Entry::new);
+        self.queue.retain(|(_, number)| *number < count);
+        self.present = self.entries.iter().filter(|e| e.state.present()).count();
+    }
+
     pub fn numbers(&self) -> impl Iterator<Item = (Number, &Entry)> {
         self.entries.iter().enumerate().map(|(i, e)| (i as Number, e))
     }
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -67,7 +67,8 @@
     // Marshals of the platform have no way to one another here.
     rollout.limits.peers = false;
     let bounds = Bounds::by_descriptors(sockets as usize, BODY, connect);
-    let terms = Terms { places, bounds, rollout, methods, tenants, zones, kinds };
+    let regions = vec![0; zones.len()];
+    let terms = Terms { places, bounds, rollout, methods, tenants, zones, regions, kinds };
     Ok(Start { terms, known, news })
 }
 
--- /dev/null
+++ b/crates/standin/src/links.rs
@@ -0,0 +1,141 @@
+//! Faults of the links between processes, by script: what becomes of one datagram. Pure and seeded, for sockets
+//! and for virtual time alike.
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// What a fault does to a datagram that it concerns.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Harm {
+    Cut,
+    /// Cut and whole in turns, each for this long, cut first.
+    Flicker(Duration),
+    /// This part is lost.
+    Loss(f64),
+    /// It takes longer by some span of these.
+    Delay(Range<Duration>),
+    /// This part arrives twice.
+    Repeat(f64),
+    /// This part is held back for so long that later ones pass it.
+    Reorder(f64, Duration),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    pub at: Duration,
+    pub lasts: Duration,
+    /// The senders and receivers concerned.
+    pub from: Vec<usize>,
+    pub to: Vec<usize>,
+    /// The way back too.
+    pub both: bool,
+    pub harm: Harm,
+}
+
+impl Fault {
+    fn concerns(&self, now: Duration, from: usize, to: usize) -> bool {
+        let way = |a: usize, b: usize| self.from.contains(&a) && self.to.contains(&b);
+        let on = now >= self.at && now < self.at.saturating_add(self.lasts);
+        on && (way(from, to) || (self.both && way(to, from)))
+    }
+}
+
+pub struct Links {
+    faults: Vec<Fault>,
+    rng: Pcg64,
+}
+
+impl Links {
+    pub fn new(seed: u64, faults: Vec<Fault>) -> Self {
+        Links { faults, rng: Pcg64::seed_from_u64(seed) }
+    }
+
+    pub fn add(&mut self, fault: Fault) {
+        self.faults.push(fault);
+    }
+
+    pub fn clear(&mut self) {
+        self.faults.clear();
+    }
+
+    /// After how long each copy of a datagram arrives; none where it is lost.
+    pub fn carry(&mut self, now: Duration, from: usize, to: usize) -> Vec<Duration> {
+        let (mut delay, mut copies) = (Duration::ZERO, 1);
+        for fault in self.faults.iter().filter(|f| f.concerns(now, from, to)) {
+            let rng = &mut self.rng;
+            let mut drawn = |part: f64| rng.random::<f64>() < part;
+            match &fault.harm {
+                Harm::Cut => return vec![],
+                Harm::Flicker(turn) => {
+                    let turns = (now - fault.at).as_nanos() / turn.as_nanos().max(1);
+                    if turns.is_multiple_of(2) {
+                        return vec![];
+                    }
+                }
+                Harm::Loss(part) => {
+                    if drawn(*part) {
+                        return vec![];
+                    }
+                }
+                Harm::Delay(span) => {
+                    let part: f64 = rng.random();
+                    delay += span.start + span.end.saturating_sub(span.start).mul_f64(part);
+                }
+                Harm::Repeat(part) => copies += usize::from(drawn(*part)),
+                Harm::Reorder(part, by) => {
+                    if drawn(*part) {
+                        delay += *by;
+                    }
+                }
+            }
+        }
+        vec![delay; copies]
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fault(harm: Harm) -> Fault {
+        let (at, lasts) = (Duration::from_secs(10), Duration::from_secs(20));
+        Fault { at, lasts, from: vec![0, 1], to: vec![2], both: false, harm }
+    }
+
+    fn at(seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds)
+    }
+
+    #[test]
+    fn a_cut_holds_in_its_time_and_on_its_way_only() {
+        let mut links = Links::new(1, vec![fault(Harm::Cut)]);
+        let arrives = |links: &mut Links, s, from, to| !links.carry(at(s), from, to).is_empty();
+        assert!(!arrives(&mut links, 10.0, 0, 2) && !arrives(&mut links, 29.9, 1, 2));
+        assert!(arrives(&mut links, 9.9, 0, 2) && arrives(&mut links, 30.0, 0, 2));
+        assert!(arrives(&mut links, 15.0, 2, 0) && arrives(&mut links, 15.0, 0, 1));
+        let mut both = Links::new(1, vec![Fault { both: true, ..fault(Harm::Cut) }]);
+        assert!(!arrives(&mut both, 15.0, 2, 0));
+    }
+
+    #[test]
+    fn parts_are_lost_repeated_and_delayed_as_said() {
+        let half = Links::new(5, vec![fault(Harm::Loss(0.3)), fault(Harm::Repeat(0.2))]);
+        let count = |mut links: Links| (0..10_000).map(|_| links.carry(at(12.0), 0, 2).len()).sum::<usize>();
+        assert!((8200..8600).contains(&count(half)));
+        let mut slow = Links::new(5, vec![fault(Harm::Delay(at(0.1)..at(0.3)))]);
+        let delays: Vec<Duration> = (0..1000).flat_map(|_| slow.carry(at(12.0), 0, 2)).collect();
+        assert!(delays.iter().all(|d| (at(0.1)..at(0.3)).contains(d)));
+        assert!(delays.iter().any(|d| *d > at(0.28)) && delays.iter().any(|d| *d < at(0.12)));
+    }
+
+    #[test]
+    fn a_flicker_is_cut_and_whole_in_turns() {
+        let mut links = Links::new(1, vec![fault(Harm::Flicker(at(2.0)))]);
+        let whole: Vec<bool> =
+            (0..8).map(|i| !links.carry(at(10.5 + f64::from(i)), 0, 2).is_empty()).collect();
+        assert_eq!(whole, [false, false, true, true, false, false, true, true]);
+    }
+}
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,103 @@
+//! A relay for the datagrams between marshals that run as processes: each is told the relay's address for every
+//! other, and what arrives is carried on as the script of the links says.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use ivydrift_wire::peer;
+
+use crate::links::{Fault, Links};
+
+const BEAT: Duration = Duration::from_millis(5);
+
+pub struct Relay {
+    /// Where others send what is meant for each marshal.
+    pub to: Vec<SocketAddr>,
+    zero: Instant,
+    links: Arc<Mutex<Links>>,
+    over: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Relay {
+    /// Carries to the marshals that listen at `own`.
+    ///
+    /// # Errors
+    /// When no socket can be had.
+    pub fn new(own: &[SocketAddr], links: Links) -> io::Result<Self> {
+        let (links, over) = (Arc::new(Mutex::new(links)), Arc::new(AtomicBool::new(false)));
+        let zero = Instant::now();
+        let (mut to, mut threads) = (Vec::new(), Vec::new());
+        for (number, own) in own.iter().copied().enumerate() {
+            let socket = UdpSocket::bind(("127.0.0.1", 0))?;
+            socket.set_read_timeout(Some(BEAT))?;
+            to.push(socket.local_addr()?);
+            let (links, over) = (links.clone(), over.clone());
+            threads.push(std::thread::spawn(move || carry(&socket, number, own, zero, &links, &over)));
+        }
+        Ok(Relay { to, zero, links, over, threads })
+    }
+
+    /// The addresses that marshal `number` is told: its own as it is, the relay's for all others.
+    pub fn told(&self, number: usize, own: SocketAddr) -> Vec<SocketAddr> {
+        let mut all = self.to.clone();
+        all[number] = own;
+        all
+    }
+
+    pub fn now(&self) -> Duration {
+        self.zero.elapsed()
+    }
+
+    /// From now on, for ever or until [`Relay::heal`].
+    pub fn harm(&self, fault: Fault) {
+        let at = self.now();
+        self.links.lock().unwrap().add(Fault { at, lasts: Duration::MAX, ..fault });
+    }
+
+    /// All links are whole again.
+    pub fn heal(&self) {
+        self.links.lock().unwrap().clear();
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Release);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn carry(
+    socket: &UdpSocket, number: usize, own: SocketAddr, zero: Instant, links: &Mutex<Links>,
+    over: &AtomicBool,
+) {
+    let mut waiting: BTreeMap<(Duration, u64), Vec<u8>> = BTreeMap::new();
+    let mut datagram = [0; 2048];
+    for count in 0u64.. {
+        if over.load(Ordering::Acquire) {
+            return;
+        }
+        if let Ok((n, _)) = socket.recv_from(&mut datagram) {
+            let now = zero.elapsed();
+            let copies = match peer::read(&datagram[..n]) {
+                Some((_, from, _)) => links.lock().unwrap().carry(now, from.into(), number),
+                None => vec![Duration::ZERO],
+            };
+            for (copy, delay) in copies.into_iter().enumerate() {
+                waiting.insert((now + delay, count << 1 | copy as u64 & 1), datagram[..n].to_vec());
+            }
+        }
+        let now = zero.elapsed();
+        while let Some(first) = waiting.first_entry().filter(|w| w.key().0 <= now) {
+            let _ = socket.send_to(&first.remove(), own);
+        }
+    }
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -95,9 +95,32 @@
     pub methods: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
+    /// The region of each zone.
+    pub regions: Vec<usize>,
     pub kinds: Vec<String>,
 }
 
+/// How far apart two zones are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    Here,
+    /// Another zone of the region.
+    Near,
+    /// Another region.
+    Far,
+}
+
+impl Terms {
+    /// How far apart two zones are, by their places in [`Terms::zones`]. What the terms do not name is far from all.
+    pub fn distance(&self, a: usize, b: usize) -> Distance {
+        match (self.regions.get(a), self.regions.get(b)) {
+            _ if a == b => Distance::Here,
+            (Some(a), Some(b)) if a == b => Distance::Near,
+            _ => Distance::Far,
+        }
+    }
+}
+
 /// Reads terms; `file` is named in complaints.
 ///
 /// # Errors
@@ -114,6 +137,7 @@
 
 fn terms(top: &Sheet) -> Terms {
     let zones = top.texts("zones", Some(vec!["here".to_owned()]));
+    let regions = regions(top, &zones);
     let kinds = top.texts("kinds", Some(vec!["plain".to_owned()]));
     let (marshal, marshals, zone, seed) = top.block("marshal", |s| {
         let marshals = s.whole("of", Some(1), 1..=10_000) as usize;
@@ -210,7 +234,42 @@
         rules,
         limits,
     };
-    Terms { places, bounds, rollout, methods, tenants, zones, kinds }
+    Terms { places, bounds, rollout, methods, tenants, zones, regions, kinds }
+}
+
+/// The region of each zone: as the blocks `region "north" { zones = [...] }` say, all in one where there are none.
+fn regions(top: &Sheet, zones: &[String]) -> Vec<usize> {
+    let named = top.labelled("region", |name, s| (name.to_owned(), s.texts("zones", None)));
+    let mut of: Vec<Option<usize>> = vec![None; zones.len()];
+    for (region, (name, members)) in named.iter().enumerate() {
+        for zone in members {
+            match zones.iter().position(|z| z == zone) {
+                Some(at) if of[at].is_none() => of[at] = Some(region),
+                Some(_) => {
+                    let what = format!(
+                        "zone {zone:?} stands in two regions, {name:?} is the second: write it in one"
+                    );
+                    top.complain(Some("zones"), what);
+                }
+                None => {
+                    let what = format!(
+                        "region {name:?} names zone {zone:?}, which is not among zones: write one of {}",
+                        zones.join(", ")
+                    );
+                    top.complain(Some("zones"), what);
+                }
+            }
+        }
+    }
+    if !named.is_empty() {
+        let left: Vec<&str> =
+            zones.iter().zip(&of).filter(|(_, r)| r.is_none()).map(|(z, _)| &z[..]).collect();
+        if !left.is_empty() {
+            let what = format!("no region has zone {}: write each zone in one region", left.join(", "));
+            top.complain(Some("zones"), what);
+        }
+    }
+    of.into_iter().map(|r| r.unwrap_or(0)).collect()
 }
 
 /// The block on the rules' figures.
@@ -341,6 +400,25 @@
         has(line("multipel"), "did you mean fall_multiple?");
     }
 
+    #[test]
+    fn zones_lie_in_regions_and_all_in_one_where_none_is_named() {
+        let with = |regions: &str| EXAMPLE.replacen("kinds =", &format!("{regions}\nkinds ="), 1);
+        let plain = read("edge.hcl", EXAMPLE).unwrap();
+        assert_eq!(plain.distance(0, 0), Distance::Here);
+        assert_eq!((plain.distance(0, 1), plain.distance(0, 7)), (Distance::Near, Distance::Far));
+        let two =
+            "region \"north\" {\n  zones = [\"site-a\"]\n}\nregion \"south\" {\n  zones = [\"site-b\"]\n}";
+        assert_eq!(read("edge.hcl", &with(two)).unwrap().distance(0, 1), Distance::Far);
+        for (text, what) in [
+            (two.replace("site-b", "site-c"), "write one of site-a, site-b"),
+            (two.replace("site-b", "site-a"), "stands in two regions"),
+            (two.replace("[\"site-b\"]", "[]"), "no region has zone site-b"),
+        ] {
+            let found = complaints(&with(&text)).join("\n");
+            assert!(found.contains(what) && found.starts_with("edge.hcl:"), "{found}");
+        }
+    }
+
     #[test]
     fn broken_hcl_and_missing_keys_are_placed() {
         assert!(complaints("marshal {\n  number = \n}\n")[0].starts_with("edge.hcl:2:"));
