--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -470,6 +470,8 @@
         } else {
             using + weight * room
         };
+        // Never more than the nodes there now bear beside our own: of nodes that are gone none are busy.
+        let total = total.min((home.bears(BEARS[1]).unwrap_or(0.0) - home.sent).max(0.0));
         // Near askers first; among equals the smaller wish first, each up to an equal part of what is left.
         let mut order: Vec<Number> = self.askers.keys().copied().collect();
         let key = |n: &Number| {
