--- /dev/null
+++ b/crates/failover/examples/outage.rs
@@ -0,0 +1,160 @@
+//! One outage and its return, moves in common beside naive fleets, paired seeds, in virtual time:
+//! `cargo run --release -p ivydrift-failover --example outage -- plots-folder`. Traffic is a flow; nodes that get
+//! more than they can do serve what they can do, which flatters whoever floods them.
+
+#[path = "../tests/world/mod.rs"]
+mod world;
+
+use std::error::Error;
+use std::path::{Path, PathBuf};
+
+use plotters::prelude::*;
+use world::{secs, Arm, World, COST};
+
+const SEEDS: u64 = 20;
+const LOSS_AT: u64 = 10;
+const BACK_AT: u64 = 40;
+const ENDS: u64 = 90;
+
+/// What one run shows.
+#[derive(Default)]
+struct Run {
+    /// Served, of what an all-seeing splitter would serve, from the loss to the end.
+    part: f64,
+    /// The worst zone's load over what it could bear, and for how long any was over 1.
+    worst: f64,
+    over: f64,
+    /// From the loss until nine tenths of what is served at last is, and from the return until 0.95 is near again.
+    recovered: f64,
+    near: f64,
+    moves: f64,
+    /// Bytes a second and marshal, and the most of one message.
+    bytes: f64,
+    /// How far marshals of the lost zone differ in the part that leaves, at most, over all 2 s after the loss.
+    apart: f64,
+    /// Time, worst load of the others, part of the lost zone's demand that is near.
+    trace: Vec<(f64, f64, f64)>,
+}
+
+fn run(arm: Arm, marshals: usize, loads: &[f32], seed: u64) -> Run {
+    let mut world = World::new(loads, marshals, seed);
+    world.arm = arm;
+    world.loss = 0.05;
+    let zero = world.now;
+    let mut run = Run { recovered: f64::NAN, near: f64::NAN, ..Run::default() };
+    let mut rates = Vec::new();
+    let (mut before, mut last) = ((0.0, 0.0), (0.0, 0.0));
+    for (until, then) in [(LOSS_AT, Some(0.0)), (BACK_AT, Some(1.0)), (ENDS, None)] {
+        while world.now < zero + secs(until) {
+            world.step();
+            let at = (world.now - zero).as_secs_f64();
+            let load = |z: usize| f64::from(world.zones[z].load * COST / world.capacity(z).max(1e-6));
+            let worst = (1..loads.len()).map(load).fold(0.0, f64::max);
+            let demand = f64::from(loads[0] * world.zones[0].power / COST);
+            let near = f64::from(world.zones[0].own) / demand;
+            run.trace.push((at, worst, near));
+            let back = if until == ENDS { load(0) } else { 0.0 };
+            if until > LOSS_AT {
+                run.worst = run.worst.max(worst.max(back));
+                run.over += if worst.max(back) > 1.0 { world::STEP.as_secs_f64() } else { 0.0 };
+                let served = world.served - last.0;
+                rates.push((at, served));
+                if run.near.is_nan() && until == ENDS && near > 0.95 {
+                    run.near = at - BACK_AT as f64;
+                }
+                if at > LOSS_AT as f64 + 2.0 && arm == Arm::Common {
+                    let parts = world.parts(0);
+                    let most = parts.iter().copied().fold(0.0, f32::max);
+                    let least = parts.iter().copied().fold(1.0, f32::min);
+                    run.apart = run.apart.max(f64::from(most - least));
+                }
+            }
+            last = (world.served, world.could);
+        }
+        if until == LOSS_AT {
+            before = last;
+        }
+        if let Some(up) = then {
+            world.set_up(0, up);
+        }
+    }
+    let out =
+        |from: u64, to: u64| rates.iter().filter(move |r| r.0 > from as f64 && r.0 <= to as f64).map(|r| r.1);
+    let settled = out(BACK_AT - 5, BACK_AT).sum::<f64>() / out(BACK_AT - 5, BACK_AT).count() as f64;
+    let first = rates.iter().find(|r| r.1 > 0.9 * settled).map_or(f64::NAN, |r| r.0);
+    run.recovered = first - LOSS_AT as f64;
+    run.part = (last.0 - before.0) / (last.1 - before.1);
+    run.bytes = world.sent_bytes as f64 / marshals as f64 / ENDS as f64;
+    run.moves = world.log.iter().filter(|l| l.2.contains("near to out")).count() as f64;
+    run
+}
+
+fn mean(runs: &[Run], of: impl Fn(&Run) -> f64) -> f64 {
+    runs.iter().map(of).sum::<f64>() / runs.len() as f64
+}
+
+fn table(marshals: usize, loads: &[f32]) -> Vec<(Arm, Vec<Run>)> {
+    println!("{marshals} marshals, zones at {loads:?} of their capacity, zone 0 lost for 30 s, means of {SEEDS} seeds");
+    println!("fleet    served  worst-load  s-over-1  s-to-0.9  s-to-near  moves  apart  bytes/s");
+    let arms = [Arm::Common, Arm::Each, Arm::Static].map(|arm| {
+        let runs: Vec<Run> = (0..SEEDS).map(|seed| run(arm, marshals, loads, seed)).collect();
+        println!(
+            "{:7}  {:6.3}  {:10.2}  {:8.2}  {:8.2}  {:9.1}  {:5.1}  {:5.2}  {:7.0}",
+            format!("{arm:?}"),
+            mean(&runs, |r| r.part),
+            mean(&runs, |r| r.worst),
+            mean(&runs, |r| r.over),
+            mean(&runs, |r| r.recovered),
+            mean(&runs, |r| r.near),
+            mean(&runs, |r| r.moves),
+            mean(&runs, |r| r.apart),
+            mean(&runs, |r| r.bytes),
+        );
+        (arm, runs)
+    });
+    println!();
+    arms.into()
+}
+
+fn draw(
+    file: &Path, title: &str, most: f64, arms: &[(Arm, Vec<Run>)], of: fn(&(f64, f64, f64)) -> f64,
+) -> Result<(), Box<dyn Error>> {
+    let area = SVGBackend::new(file, (840, 380)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..ENDS as f64, 0.0..most)?;
+    chart.configure_mesh().x_desc("seconds; loss at 10, return at 40").draw()?;
+    for ((arm, runs), color) in arms.iter().zip([&BLUE, &RED, &GREEN]) {
+        let name = match arm {
+            Arm::Common => "in common",
+            Arm::Each => "each for itself",
+            Arm::Static => "static weights",
+        };
+        let line = runs[0].trace.iter().map(|t| (t.0, of(t)));
+        chart
+            .draw_series(LineSeries::new(line, color.stroke_width(2)))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color.stroke_width(2)));
+    }
+    chart.configure_series_labels().border_style(BLACK).background_style(WHITE).draw()?;
+    area.present()?;
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    table(30, &[0.5, 0.5, 0.5]);
+    let shown = table(30, &[0.7, 0.7, 0.7]);
+    table(300, &[0.7, 0.7, 0.7]);
+    table(30, &[0.6, 0.8, 0.8]);
+    if let Some(folder) = std::env::args().nth(1).map(PathBuf::from) {
+        let load = "load of the busiest other zone, over what it can bear";
+        draw(&folder.join("failover-load.svg"), load, 1.6, &shown, |t| t.1)?;
+        let near = "part of the lost zone's demand that is sent to it";
+        draw(&folder.join("failover-near.svg"), near, 1.05, &shown, |t| t.2)?;
+    }
+    Ok(())
+}
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -32,7 +32,9 @@
 pub const FAN: usize = 16;
 /// How long a zone's grant, and a lease within a zone, holds at most.
 const GRANT: Duration = Duration::from_millis(2500);
-const LEASE: Duration = Duration::from_millis(1500);
+const LEASE: Duration = Duration::from_millis(2000);
+/// A marshal that hears no more of its zone's move keeps to its part for so long, but sends nothing by it.
+const KEPT: Duration = Duration::from_millis(3000);
 /// For how long a voice is given beside the steward, and how much longer with each step away from it.
 const PROMISE: [Duration; 2] = [Duration::from_millis(3500), Duration::from_millis(1000)];
 /// Longer than any promise of an earlier life.
@@ -224,13 +226,14 @@
         self.site.life as u32
     }
 
-    /// What this marshal may do now. A plan that has lapsed says that all stays near.
+    /// What this marshal may do now: `part` of its RPCs leave, as far as `rates` have a place for them, and the rest
+    /// of that part is pushed back. A plan that lapsed long ago says that all stays near.
     pub fn plan(&self, now: Duration) -> Plan {
         let rates = if now < self.own.1 { self.own.0.clone() } else { vec![0.0; self.order.len()] };
         let steward = self.parent.is_none();
         let (stage, part) = match steward {
             true => (self.course.stage, self.course.part),
-            false if now < self.held.until => (self.held.stage, self.held.part),
+            false if now < self.held.until + KEPT => (self.held.stage, self.held.part),
             false => (Stage::Near, 0.0),
         };
         Plan { stage, part, rates }
