--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -239,11 +239,6 @@
         Plan { stage, part, rates }
     }
 
-    /// What this marshal, as its zone's steward, has lent to each steward that asks, by zone.
-    pub fn lends(&self) -> Vec<(usize, f32)> {
-        self.askers.iter().map(|(n, a)| (a.zone, self.lent.held(*n))).collect()
-    }
-
     /// To whom this marshal speaks; none where it is its zone's steward, as far as it knows.
     pub fn speaks_to(&self) -> Option<Number> {
         self.parent.as_ref().map(|p| p.number)
@@ -253,7 +248,7 @@
     pub fn beat(&mut self, now: Duration, look: &Look, present: &dyn Fn(Number) -> bool) -> Vec<Out> {
         self.version += 1;
         self.passed_over.retain(|_, until| now < *until);
-        self.children.retain(|_, c| now < c.seen + FRESH.max(GRANT) || now < c.ours);
+        self.children.retain(|_, c| now < c.seen + GRANT || now < c.ours);
         self.askers.retain(|_, a| now < a.seen + FRESH);
         self.lent.tidy(now);
         self.ledgers.iter_mut().for_each(|l| l.tidy(now));
@@ -287,7 +282,7 @@
     /// Our steps from the steward, and through whom we speak to it.
     fn place(&mut self, now: Duration, present: &dyn Fn(Number) -> bool) -> (u32, Option<Number>) {
         if let Some(p) = &self.parent {
-            if now > p.heard.unwrap_or(p.since).max(p.since) + SILENT[0] {
+            if silent(now, p.since, p.heard) {
                 self.passed_over.insert(p.number, now + SILENT[1]);
             }
         }
@@ -431,7 +426,7 @@
                 continue;
             }
             if let Some((number, since)) = source.asked {
-                if now > source.heard.unwrap_or(since).max(since) + SILENT[0] {
+                if silent(now, since, source.heard) {
                     self.passed_over.insert(number, now + SILENT[1]);
                 }
             }
@@ -602,6 +597,11 @@
     }
 }
 
+/// Who is spoken to since then has not answered for too long.
+fn silent(now: Duration, since: Duration, heard: Option<Duration>) -> bool {
+    now > heard.map_or(since, |at| at.max(since)) + SILENT[0]
+}
+
 /// For how long a voice is given, so many steps from the steward.
 fn promise(depth: u32) -> Duration {
     PROMISE[0] + PROMISE[1] * depth.saturating_sub(1)
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -490,8 +490,8 @@
                     self.wakes.remove(&(at, tag));
                     events.push(Event::Timer { tag });
                 }
-                let about = self.about();
                 if let Some(peers) = &mut self.peers {
+                    let about = || about(&self.terms, &self.directory);
                     orders.extend(peers.tick(now, about, self.counts.rpcs));
                 }
                 for id in self.rpcs.overdue(now) {
@@ -501,13 +501,6 @@
         }
     }
 
-    fn about(&self) -> peer::About {
-        let zone = self.terms.rollout.zone;
-        let region = self.terms.regions.get(zone).copied().unwrap_or(0);
-        let ready = self.directory.ready().min(u16::MAX.into()) as u16;
-        peer::About { zone: zone as u16, region: region as u16, rate: 0.0, ready }
-    }
-
     /// A page of what this marshal knows of the others; none where the terms allow no peers.
     pub fn peers(&self, now: Duration, first: u16) -> Option<peer::View> {
         self.peers.as_ref().map(|p| p.view(now, first))
@@ -710,6 +703,14 @@
     }
 }
 
+/// What this marshal says of itself to others, its rate left out.
+fn about(terms: &Terms, directory: &Directory) -> peer::About {
+    let zone = terms.rollout.zone;
+    let region = terms.regions.get(zone).copied().unwrap_or(0);
+    let ready = directory.ready().min(u16::MAX.into()) as u16;
+    peer::About { zone: zone as u16, region: region as u16, rate: 0.0, ready }
+}
+
 fn reply_of(counted: desk::Counted) -> VoteReply {
     match counted {
         desk::Counted::Counts => VoteReply::Counts,
--- a/crates/marshal/src/peers.rs
+++ b/crates/marshal/src/peers.rs
@@ -43,13 +43,13 @@
     }
 
     /// `about`: what we say of ourselves, the rate left out; `taken`: RPCs since the start.
-    pub fn tick(&mut self, now: Duration, about: About, taken: u64) -> Vec<Order> {
+    pub fn tick(&mut self, now: Duration, about: impl Fn() -> About, taken: u64) -> Vec<Order> {
         if now >= self.renewed + RENEW {
             let span = now.saturating_sub(self.renewed.max(self.begun)).as_secs_f64().max(0.001);
             let rate = (taken.saturating_sub(self.taken) as f64 / span) as f32;
             (self.renewed, self.taken) = (now, taken);
             // It is far shorter than a record may be.
-            let _ = self.members.publish(peer::pack(&About { rate, ..about }));
+            let _ = self.members.publish(peer::pack(&About { rate, ..about() }));
         }
         let outs = if now >= self.members.due() { self.members.handle(now, Input::Tick) } else { vec![] };
         self.orders(outs)
