--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -21,6 +21,8 @@
 /// Members hold a question for this long, and may take this much longer to answer.
 const HOLD: Duration = Duration::from_millis(5000);
 const SLACK: Duration = Duration::from_millis(800);
+/// Members that answer at once whatever is asked are asked no sooner again; within 200 ms a watch goes on.
+const BREATH: Duration = Duration::from_millis(100);
 /// A desk that gives no sign of life for this long is asked anew; it gives one each second.
 const SILENCE: Duration = Duration::from_millis(3500);
 const CONNECT: Duration = Duration::from_millis(1000);
@@ -39,6 +41,7 @@
                 true => Catalog::default().path(0),
                 false => platform.catalog.lock().unwrap().path(HOLD.as_millis() as u64),
             };
+            let asked = Instant::now();
             let answer = asker.ask("GET", &path, b"", LIST_BYTES, HOLD + SLACK);
             if edge.moves.load(Ordering::Acquire) != moves {
                 return; // The list has moved, and is followed there.
@@ -54,6 +57,7 @@
                     (again, whole) = (true, false);
                     edge.tell(Input::List(&nodes), 0);
                     edge.complain_of_list();
+                    pause(BREATH.saturating_sub(asked.elapsed()));
                 }
                 // A connection may have died unseen, and only it.
                 Err((kind, _)) if again && kind != ErrorKind::InvalidData => again = false,
--- a/crates/edge/tests/hard/platform.rs
+++ b/crates/edge/tests/hard/platform.rs
@@ -239,6 +239,41 @@
     });
 }
 
+/// How many questions members get in a second that answer with revision 0, and hold what asks for more, or do not.
+fn questions_in_a_second(holds: bool) -> usize {
+    let fine = good("fine");
+    let mut platform = platform(&[(fine.addr, 1)], &[]);
+    let list = listed(&[(fine.addr, 1)]).replace("\"revision\":1", "\"revision\":0");
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = asked.clone();
+    platform.members = node_of(move |message, stream| {
+        count.fetch_add(1, Ordering::SeqCst);
+        if holds && message.contains("from=0&hold_ms=") {
+            std::thread::sleep(ms(1500));
+        }
+        ok(stream, &list)
+    });
+    let text = file("127.0.0.1:0".parse().unwrap(), &platform);
+    let start = ivydrift_platform::start::read("start.json", &text).unwrap();
+    let running = ivydrift_edge::start_on_platform(start).unwrap();
+    wait_for("the list", ms(3000), || running.nodes() == 1);
+    let before = asked.load(Ordering::SeqCst);
+    std::thread::sleep(ms(1000));
+    asked.load(Ordering::SeqCst) - before
+}
+
+#[test]
+fn a_list_of_the_first_revision_is_watched_and_not_asked_for_whole_again() {
+    let asked = questions_in_a_second(true);
+    assert!(asked <= 2, "{asked} questions in a second");
+}
+
+#[test]
+fn members_that_hold_no_question_are_not_asked_without_pause() {
+    let asked = questions_in_a_second(false);
+    assert!((2..=11).contains(&asked), "{asked} questions in a second");
+}
+
 #[test]
 fn what_a_node_turned_away_unseen_goes_to_another() {
     let full = node(Box::new(|nth, s| {
--- a/crates/platform/src/members.rs
+++ b/crates/platform/src/members.rs
@@ -41,12 +41,13 @@
 /// All members as last told, by their ids.
 #[derive(Clone, Default)]
 pub struct Catalog {
-    revision: u64,
+    /// None before the first list; a list may have the revision 0.
+    revision: Option<u64>,
     members: BTreeMap<String, Listed>,
 }
 
 impl Catalog {
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Option<u64> {
         self.revision
     }
 
@@ -62,8 +63,8 @@
     /// What to ask for next: changes after what is known, held up to this long, or the whole list.
     pub fn path(&self, hold_ms: u64) -> String {
         match self.revision {
-            0 => "/catalog/members".to_owned(),
-            known => format!("/catalog/members?from={known}&hold_ms={hold_ms}"),
+            None => "/catalog/members".to_owned(),
+            Some(known) => format!("/catalog/members?from={known}&hold_ms={hold_ms}"),
         }
     }
 
@@ -95,7 +96,7 @@
             };
             members.insert(m.id, listed);
         }
-        (self.revision, self.members) = (page.revision, members);
+        (self.revision, self.members) = (Some(page.revision), members);
         Ok(())
     }
 }
@@ -119,6 +120,9 @@
     fn changes_are_laid_over_the_list_and_a_whole_list_replaces_it() {
         let mut catalog = Catalog::default();
         assert_eq!(catalog.path(5000), "/catalog/members");
+        // The first revision there is is a revision: what follows it is watched for, not asked for at once again.
+        catalog.take(&page(0, true, &[("a", "active", 1)])).unwrap();
+        assert_eq!(catalog.path(5000), "/catalog/members?from=0&hold_ms=5000");
         catalog.take(&page(7, true, &[("a", "active", 1), ("b", "active", 1)])).unwrap();
         assert_eq!(catalog.path(5000), "/catalog/members?from=7&hold_ms=5000");
         catalog.take(&page(8, false, &[("b", "leaving", 1), ("c", "active", 2)])).unwrap();
@@ -131,7 +135,7 @@
         catalog.take(&page(9, false, &[])).unwrap();
         assert_eq!(catalog.listed().len(), 2);
         catalog.take(&page(4, true, &[("c", "active", 3)])).unwrap();
-        assert_eq!((states(&catalog), catalog.revision()), (vec![(State::Ready, 3)], 4));
+        assert_eq!((states(&catalog), catalog.revision()), (vec![(State::Ready, 3)], Some(4)));
     }
 
     #[test]
@@ -143,6 +147,6 @@
             assert!(catalog.take(&whole[..cut]).is_err(), "{cut}");
         }
         assert!(catalog.take(&whole.replace("10.1.0.2:5000", "nowhere")).unwrap_err().contains("member c"));
-        assert_eq!((catalog.revision(), catalog.listed().len()), (7, 1));
+        assert_eq!((catalog.revision(), catalog.listed().len()), (Some(7), 1));
     }
 }
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -96,7 +96,7 @@
         );
         assert!(!terms.rollout.limits.peers && terms.places.peers.is_empty());
         assert_eq!(start.news.map(|n| (n.build, n.stage, n.age_ms)), Some((42, 1, 310)));
-        assert_eq!((start.known.revision(), start.known.listed().len()), (41, 1));
+        assert_eq!((start.known.revision(), start.known.listed().len()), (Some(41), 1));
     }
 
     #[test]
