--- a/crates/policy/src/policy/vote.rs
+++ b/crates/policy/src/policy/vote.rs
@@ -28,11 +28,15 @@
         let var = |p: &Pair| p[1].mean() * (1.0 - p[1].mean());
         // Any node may spoil answers, and the older arm's few are left out with its worst nodes: σ² is that
         // of both arms if they are alike. Costs power against a build that spoils few.
-        let alike = (whole[0].good + whole[1].good) / (whole[0].n + whole[1].n).max(1e-9);
+        let pooled = |p: &Pair| {
+            let mean = (p[0].good + p[1].good) / (p[0].n + p[1].n).max(1e-9);
+            mean * (1.0 - mean)
+        };
         let slower = MARGIN[2] + MARGIN[3] / (nodes.max(1) as f64).sqrt();
         let asked: Vec<(Pair, f64, f64)> = (pairs.iter().chain([&sound]))
             .map(|p| (*p, MARGIN[1], var(p)))
-            .chain([(whole, MARGIN[1], alike * (1.0 - alike))])
+            .chain([(whole, MARGIN[1], pooled(&whole))])
+            .chain([(self.sums, MARGIN[0], pooled(&self.sums))])
             .chain([(payoff, MARGIN[0], 0.25), (pace, slower, var(&pace))])
             .collect();
         // Where few of many marshals can send a build back, each must be the surer: any of them may err.
@@ -48,14 +52,15 @@
             trial.map_or((false, false), |t| self.strain.weigh(cx.now, t, nodes, [apart, lost], strain));
         let found = worse(1.0).or(shared.then_some(asked.len()));
         // Lateness passes with a backlog, which lasts while nodes come and go.
-        let late = usize::from(found >= Some(asked.len() - 2));
+        let late = usize::from(found >= Some(asked.len() - 3));
         let alone = late * usize::from(self.alone());
         let calm = (self.stirred * alone as u32).max((self.relieved + RENEW) * late as u32);
         let ponder = PONDER[late + alone];
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
         let guilty = self.guilty.is_some_and(|since| cx.now >= since.max(calm) + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25, DELTA);
-        let wait = if sound[0].n < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
+        // What the desk has counted of all marshals is a sample too: one of 300 never has one by itself.
+        let wait = if sound[0].n.max(self.sums[0].n) < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
         let ripe = better || cx.now >= self.begun(news, cx).max(self.relieved) + wait;
         let verdict = match found.or(worse(0.4)) {
             Some(_) if guilty => Verdict::Back,
@@ -68,10 +73,15 @@
         let wish = (verdict, stage, build);
         // Where all marshals' votes are more than the desk takes, one that stands is renewed as it lapses,
         // and who was turned away asks again by lot: slots for all come too late for the few that are needed.
-        let draw = lot(cx.law.seed, cx.now.as_nanos() as u64);
+        let draw = lot(cx.law.seed, self.cast.map_or(0, |c| c.1.as_nanos() as u64));
+        let soon =
+            secs(cx.law.vote_gap * (0.05 + 0.4 * draw)).clamp(ms(200), life.mul_f64(0.25 + 0.5 * draw));
         let gap = secs((2.0 * cx.law.vote_gap).max(0.3)).min(life.mul_f64(0.25 + 0.5 * draw));
         let pause = match self.cast.filter(|c| c.0 == wish) {
-            Some((.., true)) => life.mul_f64(0.6).max(secs(cx.law.vote_gap).min(life)),
+            Some((.., VoteReply::Counts | VoteReply::Moot)) => {
+                life.mul_f64(0.6).max(secs(cx.law.vote_gap).min(life))
+            }
+            Some((.., VoteReply::Full)) => soon,
             Some(_) => cx.law.vote_wait.max(gap),
             None => gap,
         };
@@ -86,7 +96,7 @@
             let why = found.or(worse(0.4)).map_or(String::new(), |q| format!(", question {q}: {}", told(q)));
             cx.out.push(Action::Log(format!("build {build} stage {stage}: vote {verdict:?}{why}")));
         }
-        self.cast = Some((wish, cx.now, false));
+        self.cast = Some((wish, cx.now, VoteReply::Unasked));
         cx.out.push(Action::Vote { verdict, stage, build });
     }
 
--- a/crates/policy/src/state.rs
+++ b/crates/policy/src/state.rs
@@ -616,8 +616,8 @@
     /// Methods that the records are laid out for.
     pub count: usize,
     pub sums: Pair,
-    /// The last vote, when it was sent, and whether it is known to count.
-    pub cast: Option<((Verdict, usize, Build), Duration, bool)>,
+    /// The last vote, when it was sent, and what was said of it.
+    pub cast: Option<((Verdict, usize, Build), Duration, VoteReply)>,
     pub strain: Strain,
     /// Since when the evidence has stood against the build.
     pub guilty: Option<Duration>,
--- /dev/null
+++ b/crates/policy/tests/marshal/desk.rs
@@ -0,0 +1,79 @@
+//! One of many marshals, and a desk that counts a part of all picks: what its sums decide, and how votes get in.
+
+use ivydrift_policy::port::*;
+
+use crate::world::{ms, terms, World};
+
+/// One of 300 marshals, a desk that takes 80 votes a second, and a build on trial on two of eight nodes.
+fn one_of_many() -> World {
+    let mut terms = RolloutTerms { marshals: 300, ..terms() };
+    (terms.release.vote_rate, terms.release.on_votes, terms.release.back_votes) = (80.0, 180, 75);
+    let mut w = World::new(terms, 8);
+    w.run(ms(3000), 5);
+    w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+    let now = w.now;
+    (8..10).for_each(|n| w.list(n, 2, Readiness::Ready, Some(now)));
+    w
+}
+
+/// The desk's counts of the last second: so many in a hundred of the build's failed, one of the older ones'.
+fn counted(w: &mut World, failed: u32) {
+    for (build, picks, failed) in [(2, 50, failed / 2), (1, 500, 5)] {
+        let (mean, age) = (ms(60), ms(700));
+        w.step(vec![Event::Sums { build, method: 0, picks, failed, mean, age }]);
+    }
+}
+
+/// The first vote of this kind, in milliseconds from now on.
+fn first(w: &mut World, verdict: Verdict, seconds: u64, failed: Option<u32>) -> Option<u64> {
+    let from = w.now;
+    for _ in 0..seconds {
+        w.run(ms(1000), 5);
+        failed.into_iter().for_each(|failed| counted(w, failed));
+    }
+    w.votes.iter().find(|v| v.1 == verdict).map(|v| (v.0 - from).as_millis() as u64)
+}
+
+#[test]
+fn a_sample_that_the_desk_has_counted_shortens_the_wait_for_a_vote_on() {
+    let own = first(&mut one_of_many(), Verdict::On, 8, None).unwrap();
+    let counted = first(&mut one_of_many(), Verdict::On, 8, Some(1)).unwrap();
+    assert!((4900..5300).contains(&own), "{own} ms, with no sample of its own");
+    assert!((2400..2800).contains(&counted), "{counted} ms, with the desk's");
+}
+
+#[test]
+fn a_build_that_fails_by_the_desk_s_counts_is_voted_back_and_not_on() {
+    // A seventh fails: by the widths of an unknown variance that takes some 500 outcomes.
+    let mut w = one_of_many();
+    let back = first(&mut w, Verdict::Back, 9, Some(15));
+    assert!(back.is_some_and(|ms| ms < 8000), "{back:?}");
+    assert!(!w.voted(Verdict::On));
+    // What cold nodes cost a good one is within the margin.
+    let mut w = one_of_many();
+    assert_eq!(first(&mut w, Verdict::Back, 9, Some(4)), None);
+    assert!(w.voted(Verdict::On));
+}
+
+#[test]
+fn a_vote_that_was_turned_away_is_asked_again_soon_and_by_lot() {
+    let mut gaps = std::collections::BTreeSet::new();
+    for seed in 0..12 {
+        let mut terms = RolloutTerms { marshals: 300, seed, ..terms() };
+        (terms.release.vote_rate, terms.release.on_votes) = (80.0, 180);
+        let mut w = World::new(terms, 8);
+        w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+        let now = w.now;
+        (8..10).for_each(|n| w.list(n, 2, Readiness::Ready, Some(now)));
+        while w.votes.len() < 2 && w.now < now + ms(12_000) {
+            w.run(ms(20), 5);
+            if w.votes.len() == 1 && w.now - w.votes[0].0 < ms(40) {
+                w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Full);
+            }
+        }
+        gaps.insert((w.votes[1].0 - w.votes[0].0).as_millis() as u64 / 100);
+    }
+    // 300 at 80 a second are 3.75 s: those turned away come spread over some two fifths of it.
+    let (least, most) = (gaps.first().copied().unwrap(), gaps.last().copied().unwrap());
+    assert!(least >= 2 && most <= 18 && most - least >= 6 && gaps.len() >= 4, "{gaps:?} tenths of a second");
+}
--- a/crates/policy/tests/marshal/main.rs
+++ b/crates/policy/tests/marshal/main.rs
@@ -1,5 +1,6 @@
 //! The decision module from outside: rules under random runs, and plain cases.
 
 mod cases;
+mod desk;
 mod rules;
 mod world;
