At a new place a marshal asks for changes where the file knows its list

The machines of stage 1 (10.87 to 11.76 s) were known to the middle marshal after 3.6 s, to the hundredth last after 11.8 s. And `whole = moves > 0` held for the life of the process: each watch lost later asked for all again. Checked by a probe: the new file's `known` was, at all 257, the very list and revision that the marshal held. Fault: `platform::watch` took each new place for another list with revisions of its own.

Change: the file names the place and the list known there; where that is what we hold, its revision goes on, else the whole list is asked for once (Catalog::moved). What comes from the earlier place after the move is taken no more: the check stands under the catalog's lock. Tests: a unit test, one on sockets with both files; the second fails without the mend.

--- a/crates/edge/src/command.rs
+++ b/crates/edge/src/command.rs
@@ -55,10 +55,10 @@
         Ok(Read::Native(Box::new(terms)))
     }
 
-    fn terms(self) -> ivydrift_terms::Terms {
+    fn renew(self, running: &crate::Running) -> Result<(), String> {
         match self {
-            Read::Native(terms) => *terms,
-            Read::Platform(start) => start.terms,
+            Read::Native(terms) => running.renew(*terms),
+            Read::Platform(start) => running.renew_on_platform(*start),
         }
     }
 
@@ -73,10 +73,7 @@
 /// Reads the file of terms again and puts it in force; what is wrong with it is logged, and the running terms stay.
 fn renew(running: &crate::Running, file: &Path, platform: bool) {
     let name = file.display().to_string();
-    let read = || {
-        let terms = Read::file(file, platform)?.terms();
-        running.renew(terms).map_err(|why| format!("{name}: {why}"))
-    };
+    let read = || Read::file(file, platform)?.renew(running).map_err(|why| format!("{name}: {why}"));
     match read() {
         Ok(()) => tracing::info!(file = name, "new terms in force"),
         Err(why) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ivydrift_marshal::{Core, Counts, Id, Input, Order, Repeat};
+use ivydrift_platform::members::Catalog;
 use ivydrift_platform::start::Start;
 use ivydrift_sockets::listen;
 use ivydrift_terms::{Bounds, Places, Terms};
@@ -433,6 +434,18 @@
     /// # Errors
     /// What cannot change in a running marshal; the earlier terms stay in force.
     pub fn renew(&self, terms: Terms) -> Result<(), String> {
+        self.renew_with(terms, None)
+    }
+
+    /// The same on the platform, by what its file says now.
+    ///
+    /// # Errors
+    /// As for [`Running::renew`].
+    pub fn renew_on_platform(&self, start: Start) -> Result<(), String> {
+        self.renew_with(start.terms, Some(&start.known))
+    }
+
+    fn renew_with(&self, terms: Terms, known: Option<&Catalog>) -> Result<(), String> {
         let (edge, new, limits) = (&self.edge, Live::of(&terms), terms.rollout.limits);
         edge.core.lock().unwrap().renew(terms)?;
         edge.pool.renew(new.bounds.idle_to_node, new.bounds.idle_to_nodes, limits.idle_kept);
@@ -442,7 +455,11 @@
         *edge.live.lock().unwrap() = Live { longest, ..new.clone() };
         let list = |p: &Places| (p.node_list, p.service.clone());
         if list(&old.places) != list(&new.places) || old.places.release_desk != new.places.release_desk {
+            // From here on nothing of the earlier places is taken.
             edge.moves.fetch_add(1, Ordering::AcqRel);
+            if let (Some(platform), Some(known)) = (edge.dialect.platform(), known) {
+                platform.catalog.lock().unwrap().moved(known);
+            }
             news::follow_desk(edge);
             news::watch(edge);
         }
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -8,7 +8,7 @@
 
 use ivydrift_marshal::{Ballot, Input};
 use ivydrift_platform::desk::{self, Line};
-use ivydrift_platform::members::{Catalog, LIST_BYTES};
+use ivydrift_platform::members::LIST_BYTES;
 use ivydrift_sockets::coroutine::{go, pause};
 use ivydrift_sockets::Socket;
 use ivydrift_wire::desk::{Counted, Disputed, News, Stage, Sums, Vote, VoteAnswer};
@@ -34,27 +34,24 @@
         let Some(platform) = edge.dialect.platform() else { return };
         let places = edge.live().places;
         let mut asker = Asker::new(places.node_list, edge.number);
-        // Where the list has moved, its revisions may be others.
-        let (mut again, mut whole) = (true, moves > 0);
+        let mut again = true;
         loop {
-            let path = match whole {
-                true => Catalog::default().path(0),
-                false => platform.catalog.lock().unwrap().path(HOLD.as_millis() as u64),
-            };
+            let path = platform.catalog.lock().unwrap().path(HOLD.as_millis() as u64);
             let asked = Instant::now();
             let answer = asker.ask("GET", &path, b"", LIST_BYTES, HOLD + SLACK);
+            let mut catalog = platform.catalog.lock().unwrap();
             if edge.moves.load(Ordering::Acquire) != moves {
                 return; // The list has moved, and is followed there.
             }
             let taken = answer.map_err(|e| (e.kind(), e.to_string())).and_then(|(_, body)| {
                 let text = String::from_utf8_lossy(&body);
-                let mut catalog = platform.catalog.lock().unwrap();
                 catalog.take(&text).map_err(|why| (ErrorKind::InvalidData, why))?;
                 Ok(catalog.listed())
             });
+            drop(catalog);
             match taken {
                 Ok(nodes) => {
-                    (again, whole) = (true, false);
+                    again = true;
                     edge.tell(Input::List(&nodes), 0);
                     edge.complain_of_list();
                     pause(BREATH.saturating_sub(asked.elapsed()));
--- a/crates/edge/tests/hard/platform.rs
+++ b/crates/edge/tests/hard/platform.rs
@@ -458,6 +458,45 @@
     assert_eq!(process.ask(&book("z")), Some(200));
 }
 
+/// What a marshal asks first at a new place whose file says that this list is known there.
+fn first_question_after_a_move(known: &str) -> String {
+    let fine = good("fine");
+    let before = platform(&[(fine.addr, 1)], &[]);
+    let running = {
+        let text = file("127.0.0.1:0".parse().unwrap(), &before);
+        ivydrift_edge::start_on_platform(ivydrift_platform::start::read("f", &text).unwrap()).unwrap()
+    };
+    wait_for("the list", ms(3000), || running.nodes() == 1);
+    let (asked, list) = (Arc::new(Mutex::new(Vec::new())), listed(&[(fine.addr, 1)]));
+    let log = asked.clone();
+    let members = node_of(move |message, stream| {
+        log.lock().unwrap().push(message.lines().next().unwrap_or_default().to_owned());
+        std::thread::sleep(ms(500));
+        ok(stream, &list)
+    });
+    let after = Platform { members, ..platform(&[], &[]) };
+    let mut top: serde_json::Value = serde_json::from_str(&file(running.listens, &after)).unwrap();
+    top["known"] = serde_json::from_str(&known.replace("ADDR", &fine.addr.to_string())).unwrap();
+    top["listen"] = "127.0.0.1:0".into();
+    running.renew_on_platform(ivydrift_platform::start::read("f", &top.to_string()).unwrap()).unwrap();
+    wait_for("a question", ms(3000), || !asked.lock().unwrap().is_empty());
+    assert_eq!(running.nodes(), 1, "what is known stays in use meanwhile");
+    let first = asked.lock().unwrap()[0].clone();
+    first
+}
+
+#[test]
+fn at_a_new_place_changes_are_asked_for_where_the_file_knows_the_list_that_we_hold() {
+    let known = listed(&[]).replace(
+        "[]",
+        r#"[{"id":"s-0","host_port":"ADDR","locality":"site-a","flavor":"full-1c","cell":1,
+            "phase":"active","size":1.0,"up_since_ms":0,"image_id":1}]"#,
+    );
+    assert!(first_question_after_a_move(&known).contains("from=1&hold_ms="));
+    let other = known.replace("\"image_id\":1", "\"image_id\":2");
+    assert!(first_question_after_a_move(&other).starts_with("GET /catalog/members HTTP"));
+}
+
 #[test]
 fn without_its_file_the_marshal_says_what_to_name() {
     let out = Command::new(env!("CARGO_BIN_EXE_ivydrift-edge"))
--- a/crates/platform/src/members.rs
+++ b/crates/platform/src/members.rs
@@ -39,7 +39,7 @@
 }
 
 /// All members as last told, by their ids.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
     /// None before the first list; a list may have the revision 0.
     revision: Option<u64>,
@@ -51,6 +51,15 @@
         self.revision
     }
 
+    /// The list is asked at another place, of which `known` was told. Where that is not what we hold, revisions there
+    /// may be others: the whole list is asked for before changes. Where it is, they go on; 300 marshals that moved
+    /// at once and each asked for all kept the list from one another for 13 s.
+    pub fn moved(&mut self, known: &Catalog) {
+        if self != known {
+            self.revision = None;
+        }
+    }
+
     pub fn listed(&self) -> Vec<Listed> {
         self.members.values().cloned().collect()
     }
@@ -138,6 +147,25 @@
         assert_eq!((states(&catalog), catalog.revision()), (vec![(State::Ready, 3)], Some(4)));
     }
 
+    #[test]
+    fn at_another_place_changes_go_on_only_from_the_very_list_that_is_known_there() {
+        let list = |revision, build| {
+            let mut catalog = Catalog::default();
+            catalog.take(&page(revision, true, &[("a", "active", build)])).unwrap();
+            catalog
+        };
+        for (known, path) in [
+            (list(7, 1), "/catalog/members?from=7&hold_ms=5000"),
+            (list(6, 1), "/catalog/members"),
+            (list(7, 2), "/catalog/members"),
+            (Catalog::default(), "/catalog/members"),
+        ] {
+            let mut catalog = list(7, 1);
+            catalog.moved(&known);
+            assert_eq!((catalog.path(5000).as_str(), catalog.listed().len()), (path, 1));
+        }
+    }
+
     #[test]
     fn what_cannot_be_read_whole_changes_nothing() {
         let mut catalog = Catalog::default();
