A build that fails by the desk's counts of both arms goes back after 1.5 s

Seen: calm and roll, logs with the desk's sums. Build 870: 26/34 and 21/46 beside 99.5% at 31.7 and 32.7 s, back at 33.7; build 661: 35/88 at 12.8 s, found at 11.9, back at 15.0. Both were clear to all marshals 3 s before the vote. Fault: PONDER for lateness on trial (3 s) applied to what the desk counts too. It stands there for backlogs and slow dependencies, which a marshal's own times of either arm meet at unlike moments; the desk counts both over the same second. Change: 1.5 s for that question, two of the desk's periods. When alone as before.

--- a/crates/policy/src/policy/vote.rs
+++ b/crates/policy/src/policy/vote.rs
@@ -7,9 +7,9 @@
 const STAGE_LATEST: Duration = ms(9000);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
-/// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
-/// late or slow on trial; late or slow when alone, with no older arm beside it.
-const PONDER: [Duration; 3] = [ms(800), ms(3000), ms(15_000)];
+/// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound; failing
+/// by the desk's counts of both arms; late or slow on trial; such when alone, with no older arm beside it.
+const PONDER: [Duration; 4] = [ms(800), ms(1500), ms(3000), ms(15_000)];
 /// The part of the fleet that must be sound for the test by abstention to tell anything.
 const WHOLE: f64 = 0.85;
 
@@ -55,7 +55,8 @@
         let late = usize::from(found >= Some(asked.len() - 3));
         let alone = late * usize::from(self.alone());
         let calm = (self.stirred * alone as u32).max((self.relieved + RENEW) * late as u32);
-        let ponder = PONDER[late + alone];
+        let counted = usize::from(found == Some(asked.len() - 3));
+        let ponder = PONDER[if alone > 0 { 3 } else { 2 * late - counted }];
         self.guilty = found.and(self.guilty.or(Some(cx.now)));
         let guilty = self.guilty.is_some_and(|since| cx.now >= since.max(calm) + ponder);
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25, DELTA);
--- a/crates/policy/tests/marshal/desk.rs
+++ b/crates/policy/tests/marshal/desk.rs
@@ -49,6 +49,9 @@
     let back = first(&mut w, Verdict::Back, 9, Some(15));
     assert!(back.is_some_and(|ms| ms < 8000), "{back:?}");
     assert!(!w.voted(Verdict::On));
+    // One that fails two fifths: two of the desk's periods, though one of its own marshals saw nothing.
+    let back = first(&mut one_of_many(), Verdict::Back, 6, Some(40));
+    assert!(back.is_some_and(|ms| ms < 3000), "{back:?}");
     // What cold nodes cost a good one is within the margin.
     let mut w = one_of_many();
     assert_eq!(first(&mut w, Verdict::Back, 9, Some(4)), None);
