--- a/crates/client/src/blocking.rs
+++ b/crates/client/src/blocking.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::channel::{self, Means};
+use crate::call::Error;
+use crate::channel::{self, Builder, Means};
 
 /// Several marshals as one; cheap to clone, for any number of threads.
 ///
@@ -26,6 +27,16 @@
 /// ```
 pub type Channel = channel::Channel<Threads>;
 
+impl Builder {
+    /// A channel for threads.
+    ///
+    /// # Errors
+    /// When no marshal or no method is named.
+    pub fn build(self) -> Result<Channel, Error> {
+        self.on()
+    }
+}
+
 /// Threads and sockets of the standard library.
 pub struct Threads;
 
--- a/crates/client/src/channel.rs
+++ b/crates/client/src/channel.rs
@@ -94,23 +94,7 @@
         self
     }
 
-    /// A channel for threads.
-    ///
-    /// # Errors
-    /// When no marshal or no method is named.
-    pub fn build(self) -> Result<crate::blocking::Channel, Error> {
-        self.on()
-    }
-
-    /// A channel for coroutines of `may`.
-    ///
-    /// # Errors
-    /// When no marshal or no method is named.
-    pub fn build_for_coroutines(self) -> Result<crate::coroutine::Channel, Error> {
-        self.on()
-    }
-
-    fn on<M: Means>(self) -> Result<Channel<M>, Error> {
+    pub(crate) fn on<M: Means>(self) -> Result<Channel<M>, Error> {
         if self.marshals.is_empty() || self.methods.is_empty() {
             return Err(Error::BadCall("a channel needs a marshal and a method"));
         }
--- a/crates/client/src/coroutine.rs
+++ b/crates/client/src/coroutine.rs
@@ -10,7 +10,8 @@
 use ivydrift_sockets::{Look, Socket};
 use may::sync::Semphore;
 
-use crate::channel::{self, Means};
+use crate::call::Error;
+use crate::channel::{self, Builder, Means};
 
 /// Several marshals as one; cheap to clone, for any number of coroutines.
 ///
@@ -30,6 +31,16 @@
 /// ```
 pub type Channel = channel::Channel<Coroutines>;
 
+impl Builder {
+    /// A channel for coroutines of `may`.
+    ///
+    /// # Errors
+    /// When no marshal or no method is named.
+    pub fn build_for_coroutines(self) -> Result<Channel, Error> {
+        self.on()
+    }
+}
+
 /// Coroutines and sockets of `may`.
 pub struct Coroutines;
 
--- /dev/null
+++ b/crates/edge/src/asker.rs
@@ -0,0 +1,58 @@
+//! Questions to the node list and the desk, over a connection that is used again.
+
+use std::io::{self, ErrorKind};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ivydrift_sockets::Socket;
+use ivydrift_wire::http::HeadWriter;
+use ivydrift_wire::{list, message};
+
+/// A connection to list or desk that is used again for the next question.
+pub struct Asker {
+    to: SocketAddr,
+    /// Who asks, as the User-Agent.
+    name: String,
+    socket: Option<Socket>,
+}
+
+impl Asker {
+    pub fn new(to: SocketAddr, marshal: usize) -> Self {
+        let name = format!("ivydrift/{} marshal-{marshal}", env!("CARGO_PKG_VERSION"));
+        Asker { to, name, socket: None }
+    }
+
+    /// Asks and reads the answer whole: its index, where it has one, and its body.
+    pub fn ask(
+        &mut self, verb: &str, path: &str, body: &[u8], most: usize, within: Duration,
+    ) -> io::Result<(Option<u64>, Vec<u8>)> {
+        let by = Instant::now() + within;
+        let fresh = || Socket::connect(self.to, within.min(Duration::from_secs(1)));
+        let mut socket = match self.socket.take().filter(Socket::quiet) {
+            Some(socket) => socket,
+            None => fresh()?,
+        };
+        let mut bytes = HeadWriter::request(verb, path)
+            .field("host", self.to.to_string())
+            .field("user-agent", &self.name)
+            .field("content-length", body.len().to_string())
+            .field("content-type", "application/json")
+            .finish();
+        bytes.extend_from_slice(body);
+        socket.write(&bytes, by).map_err(|e| e.1)?;
+        let (mut buf, mut part) = (Vec::new(), [0; 8192]);
+        let (head, body) = message::response(&mut buf, most, |buf| {
+            let n = socket.read(&mut part, Some(by))?;
+            buf.extend_from_slice(&part[..n]);
+            Ok(n > 0)
+        })?;
+        if head.status != 200 {
+            return Err(io::Error::new(ErrorKind::InvalidData, format!("status {}", head.status)));
+        }
+        let index = head.fields.get(list::INDEX).and_then(|i| i.parse().ok());
+        if head.keep_alive {
+            self.socket = Some(socket);
+        }
+        Ok((index, body))
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! never across a wait. List, desk, peers and time have a coroutine each.
 #![forbid(unsafe_code)]
 
+mod asker;
 mod clients;
 pub mod command;
 mod dialect;
@@ -13,6 +14,7 @@
 mod news;
 mod platform;
 mod pool;
+mod running;
 
 use std::collections::HashMap;
 use std::io;
@@ -22,11 +24,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use ivydrift_marshal::{Core, Counts, Id, Input, Order, Repeat};
-use ivydrift_platform::members::Catalog;
-use ivydrift_platform::start::Start;
 use ivydrift_sockets::listen;
 use ivydrift_terms::{Bounds, Places, Terms};
-use ivydrift_wire::desk::News;
 use ivydrift_wire::peer;
 use may::net::{TcpListener, UdpSocket};
 
@@ -34,6 +33,7 @@
 use dialect::Dialect;
 use ivydrift_sockets::coroutine::{self, go, pause};
 use pool::Pool;
+pub use running::{start, start_on_platform, Running};
 
 /// The shell's zero lies this long before its start, so that nodes which started earlier have an age.
 const BEFORE: Duration = Duration::from_secs(86_400);
@@ -282,39 +282,6 @@
     }
 }
 
-/// A running marshal.
-pub struct Running {
-    edge: Arc<Edge>,
-    pub listens: SocketAddr,
-}
-
-/// Starts a marshal by its terms. The runtime's workers are set by the first that starts in a process.
-///
-/// # Errors
-/// When its addresses cannot be had.
-pub fn start(terms: Terms) -> io::Result<Running> {
-    let (edge, listener) = prepare(terms, Dialect::Native)?;
-    Ok(begin(edge, listener))
-}
-
-/// Starts a marshal of the platform by what its file says.
-///
-/// # Errors
-/// When its address cannot be had.
-pub fn start_on_platform(start: Start) -> io::Result<Running> {
-    let (known, terms) = (start.known.listed(), start.terms);
-    let (edge, listener) = prepare(terms, Dialect::Platform(dialect::Platform::new(start.known)))?;
-    // What was known before comes first: whatever is told from now on is newer.
-    if let Some(stage) = start.news {
-        let news = News { index: 0, stage: Some(stage), sums: vec![], disputed: vec![] };
-        edge.tell(Input::News(&news), 0);
-    }
-    if !known.is_empty() {
-        edge.tell(Input::Known(&known), 0);
-    }
-    Ok(begin(edge, listener))
-}
-
 fn prepare(terms: Terms, dialect: Dialect) -> io::Result<(Arc<Edge>, TcpListener)> {
     coroutine::prepare(terms.bounds.workers);
     let listener = listen(terms.places.listen)?;
@@ -352,14 +319,15 @@
     Ok((edge, listener))
 }
 
-fn begin(edge: Arc<Edge>, listener: TcpListener) -> Running {
+/// Lets it listen, follow list and desk, and keep time; the address that it listens on.
+fn begin(edge: &Arc<Edge>, listener: TcpListener) -> SocketAddr {
     let listens = listener.local_addr().unwrap_or_else(|_| edge.live().places.listen);
-    news::follow_desk(&edge);
-    keep_time(&edge);
-    hear_peers(&edge);
+    news::follow_desk(edge);
+    keep_time(edge);
+    hear_peers(edge);
     let accepting = edge.clone();
     go(move || clients::accept(&accepting, &listener));
-    Running { edge, listens }
+    listens
 }
 
 /// Wakes the core when it is due, and looks after clients and idle connections.
@@ -422,73 +390,3 @@
         }
     });
 }
-
-impl Running {
-    pub fn counts(&self) -> Counts {
-        self.edge.counts()
-    }
-
-    /// Takes new terms without a restart; nothing in hand is lost or sent twice. List and desk that have moved are
-    /// followed at their new places from now on.
-    ///
-    /// # Errors
-    /// What cannot change in a running marshal; the earlier terms stay in force.
-    pub fn renew(&self, terms: Terms) -> Result<(), String> {
-        self.renew_with(terms, None)
-    }
-
-    /// The same on the platform, by what its file says now.
-    ///
-    /// # Errors
-    /// As for [`Running::renew`].
-    pub fn renew_on_platform(&self, start: Start) -> Result<(), String> {
-        self.renew_with(start.terms, Some(&start.known))
-    }
-
-    fn renew_with(&self, terms: Terms, known: Option<&Catalog>) -> Result<(), String> {
-        let (edge, new, limits) = (&self.edge, Live::of(&terms), terms.rollout.limits);
-        edge.core.lock().unwrap().renew(terms)?;
-        edge.pool.renew(new.bounds.idle_to_node, new.bounds.idle_to_nodes, limits.idle_kept);
-        // An RPC taken under the earlier terms may need its longer deadline.
-        let old = edge.live();
-        let longest = old.longest.max(new.longest);
-        *edge.live.lock().unwrap() = Live { longest, ..new.clone() };
-        let list = |p: &Places| (p.node_list, p.service.clone());
-        if list(&old.places) != list(&new.places) || old.places.release_desk != new.places.release_desk {
-            // From here on nothing of the earlier places is taken.
-            edge.moves.fetch_add(1, Ordering::AcqRel);
-            if let (Some(platform), Some(known)) = (edge.dialect.platform(), known) {
-                platform.catalog.lock().unwrap().moved(known);
-            }
-            news::follow_desk(edge);
-            news::watch(edge);
-        }
-        Ok(())
-    }
-
-    /// How many nodes are known to be ready.
-    pub fn nodes(&self) -> usize {
-        self.edge.ready()
-    }
-
-    /// Stops accepting, finishes what is held, and returns within the longest deadline; true where nothing was
-    /// left unfinished.
-    pub fn stop(&self) -> bool {
-        self.edge.stop.store(true, Ordering::Release);
-        self.edge.tell(Input::Leaving, 0);
-        // Whoever still comes is served, and told to come no more.
-        std::thread::sleep(self.edge.bounds().linger);
-        self.edge.close.store(true, Ordering::Release);
-        // An accept in progress wakes by a connection.
-        let _ = std::net::TcpStream::connect_timeout(&self.listens, Duration::from_millis(200));
-        let by = Instant::now() + self.edge.live().longest + Duration::from_millis(200);
-        while Instant::now() < by {
-            let (held, open) = (self.edge.counts().held, self.edge.clients.lock().unwrap().len());
-            if held == 0 && open == 0 {
-                return true;
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        self.edge.counts().held == 0
-    }
-}
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -1,19 +1,17 @@
 //! What a marshal is told from outside: the node list and the release desk by blocking queries, and votes.
 
-use std::io::{self, ErrorKind};
-use std::net::SocketAddr;
+use std::io::ErrorKind;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ivydrift_marshal::{Ballot, Input};
-use ivydrift_wire::http::HeadWriter;
-use ivydrift_wire::{desk, list, message};
+use ivydrift_wire::{desk, list};
 use rand::RngExt;
 
+use crate::asker::Asker;
 use crate::{platform, Edge};
 use ivydrift_sockets::coroutine::{go, pause};
-use ivydrift_sockets::Socket;
 
 /// Queries are held by the far side at most this long.
 const LIST_WAIT: Duration = Duration::from_secs(10);
@@ -21,55 +19,6 @@
 /// More than that, and the far side is taken as gone.
 const SLACK: Duration = Duration::from_secs(2);
 
-/// A connection to list or desk that is used again for the next question.
-pub struct Asker {
-    to: SocketAddr,
-    /// Who asks, as the User-Agent.
-    name: String,
-    socket: Option<Socket>,
-}
-
-impl Asker {
-    pub fn new(to: SocketAddr, marshal: usize) -> Self {
-        let name = format!("ivydrift/{} marshal-{marshal}", env!("CARGO_PKG_VERSION"));
-        Asker { to, name, socket: None }
-    }
-
-    /// Asks and reads the answer whole: its index, where it has one, and its body.
-    pub fn ask(
-        &mut self, verb: &str, path: &str, body: &[u8], most: usize, within: Duration,
-    ) -> io::Result<(Option<u64>, Vec<u8>)> {
-        let by = Instant::now() + within;
-        let fresh = || Socket::connect(self.to, within.min(Duration::from_secs(1)));
-        let mut socket = match self.socket.take().filter(Socket::quiet) {
-            Some(socket) => socket,
-            None => fresh()?,
-        };
-        let mut bytes = HeadWriter::request(verb, path)
-            .field("host", self.to.to_string())
-            .field("user-agent", &self.name)
-            .field("content-length", body.len().to_string())
-            .field("content-type", "application/json")
-            .finish();
-        bytes.extend_from_slice(body);
-        socket.write(&bytes, by).map_err(|e| e.1)?;
-        let (mut buf, mut part) = (Vec::new(), [0; 8192]);
-        let (head, body) = message::response(&mut buf, most, |buf| {
-            let n = socket.read(&mut part, Some(by))?;
-            buf.extend_from_slice(&part[..n]);
-            Ok(n > 0)
-        })?;
-        if head.status != 200 {
-            return Err(io::Error::new(ErrorKind::InvalidData, format!("status {}", head.status)));
-        }
-        let index = head.fields.get(list::INDEX).and_then(|i| i.parse().ok());
-        if head.keep_alive {
-            self.socket = Some(socket);
-        }
-        Ok((index, body))
-    }
-}
-
 /// Follows the node list until it fails; the module then says when to ask again.
 pub fn watch(edge: &Arc<Edge>) {
     let moves = edge.moves.load(Ordering::Acquire);
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -14,8 +14,8 @@
 use ivydrift_wire::desk::{Counted, Disputed, News, Stage, Sums, Vote, VoteAnswer};
 use rand::RngExt;
 
+use crate::asker::Asker;
 use crate::dialect::Platform;
-use crate::news::Asker;
 use crate::Edge;
 
 /// Members hold a question for this long, and may take this much longer to answer.
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -11,6 +11,7 @@
 mod plot;
 mod restart;
 mod subjects;
+mod sum;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/crates/measure/src/plot.rs
+++ b/crates/measure/src/plot.rs
@@ -5,7 +5,7 @@
 
 use plotters::prelude::*;
 
-use crate::restart::Sum;
+use crate::sum::Sum;
 
 const COLOURS: [RGBColor; 3] = [RGBColor(0, 110, 60), RGBColor(190, 120, 0), RGBColor(190, 30, 30)];
 
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -10,18 +10,20 @@
 //! sends a second is fixed; only how long a word takes to reach all grows with their number.
 #![forbid(unsafe_code)]
 
+mod hearing;
 pub mod message;
+mod probing;
 mod relay;
 mod table;
 
 use std::time::Duration;
 
-use message::{Record, Row, What, Word, RECORD_BYTES};
+use message::{Record, What, Word, RECORD_BYTES};
 pub use message::{State, DATAGRAM_BYTES};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use relay::Relays;
-use table::{Table, CONFIRMED};
+use table::Table;
 
 /// A member, by its place in the terms.
 pub type Number = u16;
@@ -339,232 +341,6 @@
         self.table.spread(me);
     }
 
-    // ---- probing ---------------------------------------------------------------------------------------------
-
-    fn begin(&mut self, now: Duration) {
-        self.periods = self.periods.wrapping_add(1);
-        let members = self.table.present().max(2) as f64;
-        self.table.enough = (TELLINGS * members.log2()).ceil() as u32;
-        if let Some(target) = self.next_target() {
-            self.seq = self.seq.wrapping_add(1);
-            let seq = self.seq;
-            self.probe = Some(Probe { target, seq, begun: now, asked: None, nacks: 0 });
-            self.send(target, &What::Ping { seq }, Some(target));
-        }
-        // Who is not known to be present is tried now and then, without consequence; often while alone.
-        if self.periods.is_multiple_of(REACH) || self.table.present() < 2 {
-            for _ in 0..10 {
-                let number = self.rng.random_range(0..self.count);
-                if self.table.get(number).is_some_and(|e| !e.state.present()) {
-                    self.seq = self.seq.wrapping_add(1);
-                    self.send(number, &What::Ping { seq: self.seq }, Some(number));
-                    break;
-                }
-            }
-        }
-    }
-
-    /// All that are present once each, in an order that changes from round to round.
-    fn next_target(&mut self) -> Option<Number> {
-        for _ in 0..2 {
-            while let Some(number) = self.round.pop() {
-                if self.table.get(number).is_some_and(|e| e.state.present()) {
-                    return Some(number);
-                }
-            }
-            let present = self.table.numbers().filter(|(n, e)| *n != self.me && e.state.present());
-            self.round = present.map(|p| p.0).collect();
-            for i in (1..self.round.len()).rev() {
-                let j = self.rng.random_range(0..=i);
-                self.round.swap(i, j);
-            }
-        }
-        None
-    }
-
-    fn ask_others(&mut self) {
-        let Some((target, seq)) = self.probe.as_ref().map(|p| (p.target, p.seq)) else { return };
-        let helpers = self.some(self.pace.helpers, target);
-        if let Some(probe) = &mut self.probe {
-            probe.asked = Some(helpers.len());
-        }
-        for helper in helpers {
-            self.send(helper, &What::Ask { seq, target }, None);
-        }
-    }
-
-    /// The period is over: a probe that nobody answered makes its target suspect.
-    fn unanswered(&mut self, now: Duration) {
-        let Some(probe) = self.probe.take() else { return };
-        // Helpers that are silent too speak against ourselves.
-        let silent = probe.asked.unwrap_or(0).saturating_sub(probe.nacks);
-        let alone = probe.asked.is_none_or(|asked| asked == 0);
-        self.health = (self.health + silent as u32 + u32::from(alone)).min(UNHEALTHY);
-        let Some(e) = self.table.get(probe.target) else { return };
-        match (e.state, e.rank()) {
-            (State::Alive, (life, turn, _)) => {
-                self.enter(now, probe.target, (life, turn, State::Suspect), self.me);
-            }
-            (State::Suspect, _) => self.table.confirm(probe.target, self.me),
-            _ => {}
-        }
-    }
-
-    fn doubted_until(&self, number: Number) -> Option<Duration> {
-        let doubt = self.table.get(number)?.doubt.as_ref()?;
-        let members = self.table.present() as f64;
-        let [least, first] = self.pace.suspicion;
-        let least = least * members.log10().max(1.0);
-        // Where there are few others, none of them need confirm it.
-        let wanted = CONFIRMED.min(self.table.present().saturating_sub(3));
-        let more = doubt.by.len().saturating_sub(1).min(wanted);
-        let part = if wanted == 0 { 1.0 } else { ((more + 1) as f64).ln() / ((wanted + 1) as f64).ln() };
-        let periods = least * (first - (first - 1.0) * part);
-        Some(doubt.begun + self.pace.period.mul_f64(periods))
-    }
-
-    // ---- hearing ---------------------------------------------------------------------------------------------
-
-    fn hear(&mut self, now: Duration, from: Number, bytes: &[u8]) {
-        self.traffic.heard += 1;
-        self.traffic.heard_bytes += bytes.len() as u64;
-        let read = message::read(bytes).filter(|_| from != self.me && from < self.count);
-        let Some((what, words)) = read else {
-            self.traffic.dropped += 1;
-            return;
-        };
-        if let Some(e) = self.table.get_mut(from) {
-            e.heard = Some(now);
-        }
-        let present = self.table.present();
-        for word in &words {
-            self.learn(now, from, word);
-        }
-        // An answer that brought members we did not know of: there may be more.
-        if matches!(what, What::Words { .. }) && self.table.present() > present {
-            self.next_compare = self.next_compare.min(now + self.pace.period / 2);
-        }
-        match what {
-            What::Ping { seq } => self.send(from, &What::Ack { seq }, Some(from)),
-            What::Ack { seq } => self.acked(now, from, seq),
-            What::Ask { seq, target } => {
-                if target != self.me && target < self.count {
-                    self.seq = self.seq.wrapping_add(1);
-                    let (own, wait) = (self.seq, self.pace.answer * (1 + self.health));
-                    if self.relays.take(now, (from, seq), (target, own), wait, self.pace.period) {
-                        self.send(target, &What::Ping { seq: own }, Some(target));
-                    }
-                }
-            }
-            What::Nack { seq } => {
-                let probe = self.probe.as_mut().filter(|p| p.seq == seq);
-                probe.into_iter().for_each(|p| p.nacks += 1);
-            }
-            What::Digest { start, end, rows } => self.answer_digest(from, start, end, &rows),
-            What::Words { want } => {
-                if !want.is_empty() {
-                    let words = want.iter().filter_map(|n| self.table.word(*n, self.me)).collect();
-                    self.send_words(from, &What::Words { want: vec![] }, words);
-                }
-            }
-        }
-    }
-
-    /// An answer to our own probe, or to one that we made for another.
-    fn acked(&mut self, now: Duration, from: Number, seq: u32) {
-        if self.probe.as_ref().is_some_and(|p| p.seq == seq) {
-            // Within the time that we would wait at full health, so that health returns only once it is so.
-            let quick = self.probe.as_ref().is_some_and(|p| now < p.begun + self.pace.period);
-            self.probe = None;
-            self.health = self.health.saturating_sub(u32::from(quick));
-        } else if let Some((asker, seq)) = self.relays.answered(from, seq) {
-            self.send(asker, &What::Ack { seq }, None);
-        }
-    }
-
-    fn learn(&mut self, now: Duration, from: Number, word: &Word) {
-        if word.number == self.me {
-            return self.contradict(now, word);
-        }
-        let learnt = self.table.take(now, word);
-        self.changed(word.number, learnt);
-        // A member that returned may have missed much, and so may we.
-        let back = learnt.from.is_some_and(|s| !s.present()) && word.state.present();
-        if back && word.number == from {
-            self.next_compare = self.next_compare.min(now + self.pace.period / 2);
-        }
-    }
-
-    /// A word about ourselves: what is not so any more is outdone by a later turn.
-    fn contradict(&mut self, now: Duration, word: &Word) {
-        let Some((life, turn, _)) = self.table.get(self.me).map(|e| e.rank()) else { return };
-        let new = if word.life > life {
-            // Our clock was set back between two starts, or another has our number: the later word stands.
-            Some((word.life.saturating_add(1), 0))
-        } else if word.life == life && word.state != State::Alive && word.turn >= turn {
-            self.health = (self.health + 1).min(UNHEALTHY);
-            Some((life, word.turn.saturating_add(1)))
-        } else {
-            None
-        };
-        if let Some((life, turn)) = new {
-            let record = self.table.get(self.me).and_then(|e| e.record.clone());
-            self.enter(now, self.me, (life, turn, State::Alive), self.me);
-            if let Some(e) = self.table.get_mut(self.me) {
-                (e.record, e.record_at) = (record, now);
-            }
-        }
-    }
-
-    fn enter(&mut self, now: Duration, number: Number, rank: message::Rank, by: Number) {
-        let learnt = self.table.enter(now, number, rank, by);
-        self.changed(number, learnt);
-    }
-
-    fn changed(&mut self, number: Number, learnt: table::Learnt) {
-        let Some(from) = learnt.from else { return };
-        let Some((life, _, to)) = self.table.get(number).map(|e| e.rank()) else { return };
-        self.suspects.retain(|s| *s != number);
-        if to == State::Suspect {
-            self.suspects.push(number);
-        }
-        self.out.push(Out::Changed { number, from, to, life });
-    }
-
-    // ---- comparing -------------------------------------------------------------------------------------------
-
-    fn compare(&mut self, to: Number) {
-        let start = self.rng.random_range(0..self.count) / RANGE * RANGE;
-        let end = start.saturating_add(RANGE).min(self.count);
-        let rows = (start..end).filter_map(|n| self.table.row(n)).collect();
-        self.send(to, &What::Digest { start, end, rows }, None);
-    }
-
-    fn answer_digest(&mut self, from: Number, start: Number, end: Number, rows: &[Row]) {
-        let end = end.min(start.saturating_add(RANGE)).min(self.count);
-        let (mut words, mut want) = (Vec::new(), Vec::new());
-        for number in start..end {
-            let theirs = rows.iter().find(|r| r.number == number);
-            let age = |r: &Row| ((r.life, r.turn, r.state), r.version);
-            let (mine, theirs) = (self.table.row(number).map(|r| age(&r)), theirs.map(age));
-            let newer = |a: &Option<(message::Rank, u32)>, b: &Option<(message::Rank, u32)>| match (a, b) {
-                (Some(a), Some(b)) => a.0 > b.0 || (a.0 .0 == b.0 .0 && a.1 > b.1),
-                (a, b) => a.is_some() && b.is_none(),
-            };
-            if newer(&mine, &theirs) {
-                words.extend(self.table.word(number, self.me));
-            }
-            if newer(&theirs, &mine) {
-                want.push(number);
-            }
-        }
-        if !words.is_empty() || !want.is_empty() {
-            self.send_words(from, &What::Words { want }, words);
-        }
-    }
-
-    // ---- sending ---------------------------------------------------------------------------------------------
-
     /// So many members that are alive, but not `without`, by lot.
     fn some(&mut self, count: usize, without: Number) -> Vec<Number> {
         let mut found = Vec::new();
--- /dev/null
+++ b/crates/policy/src/state/chance.rs
@@ -0,0 +1,50 @@
+//! Chance by hash, spans, and what is lately.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+use crate::port::*;
+
+pub type Times = VecDeque<Duration>;
+
+pub fn recent(times: Option<&Times>, now: Duration, window: Duration) -> f64 {
+    times.map_or(0, |t| t.iter().rev().take_while(|&&at| at + window > now).count()) as f64
+}
+
+pub fn power(entry: &NodeEntry) -> f64 {
+    if entry.power > 0.0 {
+        entry.power
+    } else {
+        1.0
+    }
+}
+
+/// Chance: the hash of the seed and a counter.
+pub fn chance(seed: u64, draw: u64) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (seed, draw).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The same as a figure from 0 to 1.
+pub fn lot(seed: u64, draw: u64) -> f64 {
+    chance(seed, draw) as f64 / u64::MAX as f64
+}
+
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn secs(s: f64) -> Duration {
+    Duration::from_secs_f64(s.max(0.0))
+}
+
+pub fn same_group(group: Group, a: &NodeEntry, b: &NodeEntry) -> bool {
+    match group {
+        Group::All => true,
+        Group::Zone => a.zone == b.zone,
+        Group::Cell => a.cell == b.cell,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/state/judge.rs
@@ -0,0 +1,124 @@
+//! What judge and scout keep.
+
+use std::collections::BTreeMap;
+
+use super::*;
+
+#[derive(Default)]
+pub struct Judge {
+    pub books: Vec<Book>,
+    /// What older builds did on nodes that are gone, by kind and method.
+    pub past: Vec<Ledger>,
+    /// What the earlier build did before the present trial.
+    pub before: Vec<Ledger>,
+    pub newest: Build,
+    pub places: f64,
+    pub news: Option<News>,
+    /// What peers summed, by level and place in the ring.
+    pub heard: BTreeMap<(u32, usize), (Duration, Build, Vec<Pair>)>,
+    pub ring: usize,
+    pub levels: u32,
+    /// Methods that the records are laid out for.
+    pub count: usize,
+    pub sums: Pair,
+    /// The last vote, when it was sent, and what was said of it.
+    pub cast: Option<((Verdict, usize, Build), Duration, VoteReply)>,
+    pub strain: Strain,
+    /// Since when the evidence has stood against the build.
+    pub guilty: Option<Duration>,
+    /// When the earlier nodes were last called to help in the last stage.
+    pub relieved: Duration,
+    /// When a node last came or went.
+    pub stirred: Duration,
+    pub halved: Duration,
+    pub renewed: Duration,
+    pub told: Duration,
+    /// Whether the build got nothing when peers were last told.
+    pub said: bool,
+    pub looked: Duration,
+}
+
+impl Judge {
+    /// Makes room for the methods and kinds that there are now; those known keep their places and records.
+    pub fn lay_out(&mut self, law: &Charter, (ring, levels): (usize, u32)) {
+        let (count, known) = (law.duties.len(), self.count.max(1));
+        for sums in [&mut self.past, &mut self.before] {
+            let mut fresh = vec![Ledger::default(); law.kinds * count];
+            for (i, ledger) in sums.iter().enumerate().filter(|(i, _)| i / known < law.kinds) {
+                fresh[i / known * count + i % known] = *ledger;
+            }
+            *sums = fresh;
+        }
+        self.books.iter_mut().for_each(|b| b.methods.resize(count, Ledger::default()));
+        (self.count, self.ring, self.levels) = (count, ring, levels);
+        self.heard.clear(); // Peers may count other methods, or stand elsewhere in the rings.
+    }
+
+    /// Files a node as it shows itself now.
+    pub fn listed(&mut self, card: &Card, cx: &Cx) {
+        if self.books.len() <= card.entry.node {
+            let blank = Book { methods: vec![Ledger::default(); cx.law.duties.len()], ..Book::default() };
+            self.books.resize(card.entry.node + 1, blank);
+        }
+        let book = &mut self.books[card.entry.node];
+        let fresh = (book.entry.build, book.entry.started) != (card.entry.build, card.entry.started);
+        if fresh || card.ready != book.ready {
+            self.stirred = cx.now;
+        }
+        if fresh || !card.ready {
+            // The old arm's record outlives its nodes.
+            if book.entry.build < self.newest {
+                book.add_to(&mut self.past);
+            }
+            book.methods.fill(Ledger::default());
+        }
+        (book.entry, book.ready, book.ill) = (card.entry, card.ready, card.gentle || card.resting);
+        book.entry.kind = card.entry.kind.min(cx.law.kinds - 1);
+    }
+
+    /// Where in this marshal's ring of a level the sender sits; only who sits a whole number of spans before it
+    /// sums what nobody else there does.
+    pub fn place(&self, from: usize, level: u32, law: &Charter) -> Option<usize> {
+        let back = (law.marshal + law.crowd).checked_sub(from)? % law.crowd;
+        let span = self.ring.pow(level.min(self.levels));
+        let place = back / span;
+        (level < self.levels && back.is_multiple_of(span) && (1..self.ring).contains(&place)).then_some(place)
+    }
+
+    /// Halves all records, but for that of an arm without nodes.
+    pub fn halve(&mut self) {
+        self.books.iter_mut().flat_map(|b| &mut b.methods).for_each(Ledger::halve);
+        if self.ready(false) > 0 {
+            self.past.iter_mut().for_each(Ledger::halve);
+        }
+        self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
+    }
+
+    /// How many nodes of the newest build, or of older ones, are ready.
+    pub fn ready(&self, new: bool) -> usize {
+        self.books.iter().filter(|b| b.ready && (b.entry.build == self.newest) == new).count()
+    }
+}
+
+#[derive(Default)]
+pub struct Scout {
+    pub subscribed: bool,
+    pub ask_at: Duration,
+    pub failures: i32,
+}
+
+/// The test by abstention: the older arm with the build's traffic and without it, by method.
+#[derive(Default)]
+pub struct Strain {
+    pub lately: Vec<Tally>,
+    pub off: Vec<Tally>,
+    pub since: Option<Duration>,
+    /// A peer has begun to abstain.
+    pub joined: bool,
+    /// The older arm recovered without the build, at this time.
+    pub relieved: Option<Duration>,
+    pub cleared: Option<(Build, usize)>,
+    pub stage: Option<(Build, usize)>,
+    /// How brisk the older arm was before the test.
+    pub level: f64,
+}
--- a/crates/standin/src/clients.rs
+++ b/crates/standin/src/clients.rs
@@ -15,7 +15,7 @@
 use ivydrift_wire::rpc;
 
 use crate::day::Day;
-use crate::sockets::Rig;
+use crate::rig::Rig;
 use crate::town::{Ask, End};
 
 /// Apps, each with a channel of its own, whose nearest marshal is the same.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod links;
 mod node;
 pub mod relay;
+mod rig;
 pub mod sim;
 pub mod sockets;
 pub mod sums;
