--- a/crates/edge/src/asker.rs
+++ b/crates/edge/src/asker.rs
@@ -7,6 +7,7 @@
 use ivydrift_sockets::Socket;
 use ivydrift_wire::http::HeadWriter;
 use ivydrift_wire::{list, message};
+use rand::RngExt;
 
 /// A connection to list or desk that is used again for the next question.
 pub struct Asker {
@@ -56,3 +57,8 @@
         Ok((index, body))
     }
 }
+
+/// How long to wait after so many failures: full jitter, so that marshals do not come back together.
+pub fn jitter(base: Duration, failures: u32) -> Duration {
+    (base * (1 << failures.min(4))).mul_f64(rand::rng().random_range(0.1..=1.0))
+}
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -7,9 +7,8 @@
 
 use ivydrift_marshal::{Ballot, Input};
 use ivydrift_wire::{desk, list};
-use rand::RngExt;
 
-use crate::asker::Asker;
+use crate::asker::{jitter, Asker};
 use crate::{platform, Edge};
 use ivydrift_sockets::coroutine::{go, pause};
 
@@ -88,9 +87,7 @@
                     edge.tell(Input::News(&news), 0);
                 }
                 Err(why) => {
-                    // Full jitter, so that marshals do not come back together.
-                    let most = Duration::from_millis(200 << failures.min(4));
-                    let wait = most.mul_f64(rand::rng().random_range(0.1..=1.0));
+                    let wait = jitter(Duration::from_millis(200), failures);
                     tracing::warn!(why, wait_ms = wait.as_millis() as u64, "release desk lost");
                     failures += 1;
                     pause(wait);
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -12,9 +12,8 @@
 use ivydrift_sockets::coroutine::{go, pause};
 use ivydrift_sockets::Socket;
 use ivydrift_wire::desk::{Counted, Disputed, News, Stage, Sums, Vote, VoteAnswer};
-use rand::RngExt;
 
-use crate::asker::Asker;
+use crate::asker::{jitter, Asker};
 use crate::dialect::Platform;
 use crate::Edge;
 
@@ -146,9 +145,7 @@
                 }
             });
             if let Some(why) = lost.err().filter(|_| !moved()) {
-                // Full jitter, so that marshals do not come back together.
-                let most = Duration::from_millis(100 << failures.min(4));
-                let wait = most.mul_f64(rand::rng().random_range(0.1..=1.0));
+                let wait = jitter(Duration::from_millis(100), failures);
                 tracing::warn!(%why, wait_ms = wait.as_millis() as u64, "release desk lost");
                 failures += 1;
                 pause(wait);
--- a/crates/edge/tests/hard/machine.rs
+++ b/crates/edge/tests/hard/machine.rs
@@ -16,7 +16,8 @@
     fn start(name: &str, town: &Town, limit: Option<u32>) -> Self {
         let listens = free();
         let text = terms(town, &[("127.0.0.1:0", &listens.to_string())]);
-        let file = std::env::temp_dir().join(format!("ivydrift-{name}-{}.hcl", std::process::id()));
+        let folder = tempfile::tempdir().unwrap();
+        let file = folder.path().join(format!("{name}.hcl"));
         std::fs::write(&file, text).unwrap();
         let limit = limit.map_or(String::new(), |n| format!("ulimit -n {n}; "));
         let child = Command::new("/bin/sh")
@@ -26,7 +27,7 @@
             .spawn()
             .unwrap();
         wait_for("the marshal's start", ms(5000), || std::net::TcpStream::connect(listens).is_ok());
-        Process { child, listens, file }
+        Process { child, listens, file, _folder: folder }
     }
 
     /// Stops it and waits until every thread stands still: on a busy machine the stop begins only when the thread
@@ -194,10 +195,10 @@
 
 #[test]
 fn wrong_terms_are_told_by_line_and_nothing_starts() {
-    let file = std::env::temp_dir().join(format!("ivydrift-wrong-{}.hcl", std::process::id()));
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("wrong.hcl");
     std::fs::write(&file, ivydrift_terms::EXAMPLE.replace("utility = 6", "utility = \"much\"")).unwrap();
     let run = Command::new(BINARY).arg(&file).output().unwrap();
-    std::fs::remove_file(&file).unwrap();
     let said = String::from_utf8_lossy(&run.stderr).into_owned();
     assert_eq!(run.status.code(), Some(2));
     assert!(said.contains(".hcl:39:") && said.contains("write a number"), "{said}");
--- a/crates/edge/tests/hard/platform.rs
+++ b/crates/edge/tests/hard/platform.rs
@@ -388,7 +388,8 @@
 impl Process {
     fn on_platform(name: &str, platform: &Platform) -> Self {
         let listens = free();
-        let path = std::env::temp_dir().join(format!("ivydrift-{name}-{}.json", std::process::id()));
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join(format!("{name}.json"));
         std::fs::write(&path, file(listens, platform)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_ivydrift-edge"))
             .arg("--platform")
@@ -396,7 +397,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let process = Process { child, listens, file: path };
+        let process = Process { child, listens, file: path, _folder: folder };
         wait_for("readiness", ms(5000), || {
             process.ask("GET /_health HTTP/1.1\r\nHost: b\r\n\r\n") == Some(200)
         });
--- a/crates/edge/tests/hard/process.rs
+++ b/crates/edge/tests/hard/process.rs
@@ -9,6 +9,8 @@
     pub child: Child,
     pub listens: SocketAddr,
     pub file: std::path::PathBuf,
+    /// Where the file is; gone with the test.
+    pub _folder: tempfile::TempDir,
 }
 
 impl Process {
@@ -21,6 +23,5 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
     }
 }
--- a/crates/ivydrift/tests/peers.rs
+++ b/crates/ivydrift/tests/peers.rs
@@ -2,7 +2,6 @@
 //! and started again: what `ivydrift peers` shows of it.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -11,6 +10,7 @@
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::Value;
+use tempfile::TempDir;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_ivydrift");
 
@@ -25,7 +25,7 @@
 }
 
 struct Fleet {
-    folder: PathBuf,
+    folder: TempDir,
     own: Vec<SocketAddr>,
     relay: Relay,
     children: Vec<Option<Child>>,
@@ -33,8 +33,7 @@
 
 impl Fleet {
     fn start((name, index): (&str, u8), count: usize) -> Fleet {
-        let folder = std::env::temp_dir().join(format!("ivydrift-peers-{name}-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
+        let folder = tempfile::Builder::new().prefix(name).tempdir().unwrap();
         let own = addresses(index, count);
         let relay = Relay::new(&own, Links::new(7, vec![])).unwrap();
         let children = (0..count).map(|_| None).collect();
@@ -57,9 +56,9 @@
             ["a", "b"][number % 2],
             quoted(self.relay.told(number, own)),
         );
-        let file = self.folder.join(format!("edge-{number}.hcl"));
+        let file = self.folder.path().join(format!("edge-{number}.hcl"));
         std::fs::write(&file, terms).unwrap();
-        let log = std::fs::File::create(self.folder.join(format!("edge-{number}.log"))).unwrap();
+        let log = std::fs::File::create(self.folder.path().join(format!("edge-{number}.log"))).unwrap();
         let mut edge = Command::new(PROGRAM);
         edge.arg("edge").arg(&file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         self.children[number] = Some(edge.spawn().unwrap());
@@ -107,7 +106,7 @@
 
     /// How often this marshal's log says that another entered the state.
     fn logged(&self, by: usize, of: usize, state: &str) -> usize {
-        let log = std::fs::read_to_string(self.folder.join(format!("edge-{by}.log"))).unwrap();
+        let log = std::fs::read_to_string(self.folder.path().join(format!("edge-{by}.log"))).unwrap();
         let line = |l: &&str| l.contains(&format!("marshal {of}: ")) && l.contains(&format!(" to {state},"));
         log.lines().filter(line).count()
     }
@@ -116,7 +115,6 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         (0..self.own.len()).for_each(|n| self.kill(n));
-        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
