--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod news;
 mod platform;
 mod pool;
+mod program;
 mod running;
 
 use std::collections::HashMap;
@@ -271,7 +272,8 @@
     /// Answers who asks what this marshal knows of the others.
     fn show_peers(&self, socket: &UdpSocket, to: SocketAddr, first: u16) {
         let view = self.core.lock().unwrap().peers(self.now(), first);
-        let page = view.and_then(|v| peer::write(peer::Kind::View, self.number as u16, &peer::pack(&v)));
+        let page = view.map(|(view, more)| peer::page(&view, &more));
+        let page = page.and_then(|page| peer::write(peer::Kind::View, self.number as u16, &page));
         if let Some(page) = page {
             let _ = socket.inner().send_to(&page, to);
         }
@@ -291,6 +293,10 @@
     };
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let zero_ms = unix.saturating_sub(BEFORE).as_millis() as u64;
+    let mut core = Core::new(terms.clone(), zero_ms);
+    if peers.is_some() {
+        core.run_by(program::name());
+    }
     let edge = Arc::new(Edge {
         dialect,
         inhand: Mutex::default(),
@@ -314,7 +320,7 @@
         stood: AtomicU64::new(0),
         ticked: AtomicU64::new(0),
         complained: Mutex::default(),
-        core: Mutex::new(Core::new(terms, zero_ms)),
+        core: Mutex::new(core),
     });
     Ok((edge, listener))
 }
--- a/crates/ivydrift/src/peers.rs
+++ b/crates/ivydrift/src/peers.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use clap::Args;
-use ivydrift_wire::peer::{self, Kind, Row, View};
+use ivydrift_wire::peer::{self, Kind, More, Row, View};
 use serde_json::{json, Value};
 
 /// A page unanswered for so long is asked for again.
@@ -26,8 +26,11 @@
 impl PeersCommand {
     pub fn run(self) -> ExitCode {
         match ask(self.address) {
-            Ok((view, rows)) => {
-                let text = if self.json { json(&view, &rows).to_string() } else { table(&view, &rows) };
+            Ok((view, rows, more)) => {
+                let text = match self.json {
+                    true => json(&view, &rows, more.as_ref()).to_string(),
+                    false => table(&view, &rows, more.as_ref()),
+                };
                 println!("{}", text.trim_end());
                 ExitCode::SUCCESS
             }
@@ -39,26 +42,30 @@
     }
 }
 
-/// The first page's head, and the rows of all pages.
-fn ask(address: SocketAddr) -> io::Result<(View, Vec<Row>)> {
+/// The first page's head, the rows of all pages, and what stands behind them, where the marshal says so much.
+fn ask(address: SocketAddr) -> io::Result<(View, Vec<Row>, Option<More>)> {
     let any: IpAddr =
         if address.is_ipv4() { Ipv4Addr::UNSPECIFIED.into() } else { Ipv6Addr::UNSPECIFIED.into() };
     let socket = UdpSocket::bind((any, 0))?;
     socket.connect(address)?;
-    let head = page(&socket, 0)?;
+    let (head, mut more) = page(&socket, 0)?;
     let mut rows = head.rows.clone();
     // Each page brings a row or ends it, so this ends.
     while rows.len() < usize::from(head.of) {
-        let more = page(&socket, rows.len() as u16)?.rows;
-        if more.is_empty() {
+        let (next, behind) = page(&socket, rows.len() as u16)?;
+        if next.rows.is_empty() {
             break;
         }
-        rows.extend(more);
+        rows.extend(next.rows);
+        more = more.zip(behind).map(|(mut all, next)| {
+            all.rows.extend(next.rows);
+            all
+        });
     }
-    Ok((head, rows))
+    Ok((head, rows, more))
 }
 
-fn page(socket: &UdpSocket, first: u16) -> io::Result<View> {
+fn page(socket: &UdpSocket, first: u16) -> io::Result<(View, Option<More>)> {
     let silent = "no answer: is this a marshal's own address among peers, and does its terms name peers?";
     let mut last = io::Error::new(ErrorKind::TimedOut, silent);
     for _ in 0..TRIES {
@@ -81,9 +88,9 @@
                 Err(_) => break,
             };
             let read = peer::read(&datagram[..n]).filter(|r| r.0 == Kind::View);
-            let view = read.and_then(|r| peer::unpack::<View>(r.2)).filter(|v| v.first == first);
-            if let Some(view) = view {
-                return Ok(view);
+            let view = read.and_then(|r| peer::unpack_first::<View>(r.2)).filter(|v| v.0.first == first);
+            if let Some((view, rest)) = view {
+                return Ok((view, peer::unpack(rest)));
             }
         }
     }
@@ -94,14 +101,19 @@
     format!("{:.1}", ms as f64 / 1000.0)
 }
 
-fn table(view: &View, rows: &[Row]) -> String {
+fn table(view: &View, rows: &[Row], more: Option<&More>) -> String {
+    let spoken = more.map_or(String::new(), |m| {
+        let apart = if m.apart { ", and one is present that speaks none of ours" } else { "" };
+        format!("; level of speech {}{apart}", m.level)
+    });
     let mut out = format!(
-        "marshal {} of {}; doubts its own links: {} of 8; sends {:.0} bytes/s to others\n\n\
-         {:>7}  {:<8} {:>8} {:>9} {:>6} {:>7} {:>9} {:>6} {:>8}  {}\n",
+        "marshal {} of {}; doubts its own links: {} of 8; sends {:.0} bytes/s to others{}\n\n\
+         {:>7}  {:<8} {:>8} {:>9} {:>6} {:>7} {:>9} {:>6} {:>8}  {:<14} {}\n",
         view.number,
         view.of,
         view.doubt,
         view.sent,
+        spoken,
         "marshal",
         "state",
         "since s",
@@ -111,9 +123,10 @@
         "RPCs/s",
         "nodes",
         "told s",
+        "program",
         "life",
     );
-    for row in rows {
+    for (i, row) in rows.iter().enumerate() {
         let none = || "-".to_owned();
         let [zone, region, rate, nodes, told] = match &row.about {
             None => [none(), none(), none(), none(), none()],
@@ -127,25 +140,34 @@
         };
         let (since, heard) = (seconds(row.since), row.heard.map_or_else(none, seconds));
         out += &format!(
-            "{:>7}  {:<8} {since:>8} {heard:>9} {zone:>6} {region:>7} {rate:>9} {nodes:>6} {told:>8}  {}\n",
-            row.number, row.state, row.life
+            "{:>7}  {:<8} {since:>8} {heard:>9} {zone:>6} {region:>7} {rate:>9} {nodes:>6} {told:>8}  {:<14} {}\n",
+            row.number,
+            row.state,
+            said(more, i).map_or("-", |s| &s.1),
+            row.life
         );
     }
     out
 }
 
-fn json(view: &View, rows: &[Row]) -> Value {
-    let row = |r: &Row| {
+/// What this row's marshal says of its speech and program.
+fn said(more: Option<&More>, row: usize) -> Option<&(u8, String)> {
+    more?.rows.get(row)?.as_ref()
+}
+
+fn json(view: &View, rows: &[Row], more: Option<&More>) -> Value {
+    let row = |(i, r): (usize, &Row)| {
         json!({
+            "speaks": said(more, i).map_or(0, |s| s.0), "program": said(more, i).map(|s| &s.1),
             "marshal": r.number, "state": r.state, "life": r.life, "since_ms": r.since, "heard_ms": r.heard,
             "about": r.about.as_ref().map(|(a, age)| json!({
                 "zone": a.zone, "region": a.region, "rate": a.rate, "ready": a.ready, "age_ms": age,
             })),
         })
     };
-    let members: Vec<Value> = rows.iter().map(row).collect();
+    let members: Vec<Value> = rows.iter().enumerate().map(row).collect();
     json!({
         "marshal": view.number, "of": view.of, "doubt": view.doubt, "sent_bytes_a_second": view.sent,
-        "members": members,
+        "level": more.map_or(0, |m| m.level), "apart": more.is_some_and(|m| m.apart), "members": members,
     })
 }
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -45,6 +45,7 @@
     /// The other marshals; none before the first call, and where the terms allow no peers.
     peers: Option<Peers>,
     begun: bool,
+    program: String,
 }
 
 /// Before the desk has said anything a marshal does not know what is on trial. After this long the oldest build
@@ -71,10 +72,16 @@
             offered: terms.methods.clone(),
             peers: None,
             begun: false,
+            program: String::new(),
             terms,
         }
     }
 
+    /// Which program this is, as others may be told; to be said before anything else.
+    pub fn run_by(&mut self, program: String) {
+        self.program = program;
+    }
+
     pub fn counts(&self) -> Counts {
         Counts { held: self.rpcs.len(), ..self.counts }
     }
@@ -106,7 +113,7 @@
         let mut events = Vec::new();
         if !std::mem::replace(&mut self.begun, true) {
             // The shell's zero lies the same span before each start: a later start has a later one.
-            self.peers = Peers::new(&self.terms, self.zero_ms, now);
+            self.peers = Peers::new(&self.terms, &self.program, self.zero_ms, now);
         }
         self.read(now, input, &mut events, &mut orders);
         // The module wants a first call before anything else, to set its timers.
@@ -206,7 +213,7 @@
     }
 
     /// A page of what this marshal knows of the others; none where the terms allow no peers.
-    pub fn peers(&self, now: Duration, first: u16) -> Option<peer::View> {
+    pub fn peers(&self, now: Duration, first: u16) -> Option<(peer::View, peer::More)> {
         self.peers.as_ref().map(|p| p.view(now, first))
     }
 
--- a/crates/marshal/src/peers.rs
+++ b/crates/marshal/src/peers.rs
@@ -2,19 +2,30 @@
 
 use std::time::Duration;
 
+use ivydrift_commons::level::{Level, Speech, SPOKEN};
+use ivydrift_commons::sections::{Sections, PROGRAM, SPEECH};
 use ivydrift_members::{Input, Members, Out, Pace};
 use ivydrift_terms::Terms;
-use ivydrift_wire::peer::{self, About, Kind, Row, View};
+use ivydrift_wire::peer::{self, About, Kind, More, Row, View};
 
 use crate::Order;
 
 /// What we say of ourselves is renewed this often at most.
 const RENEW: Duration = Duration::from_millis(500);
+/// What a marshal says of its speech and its program counts for so long: as long as it is present, whoever brings it.
+const VALID: Duration = Duration::from_secs(24 * 3600);
+/// A program's name in so many bytes at most.
+const NAME: usize = 40;
+
+// A record that sections fill is one that membership carries.
+const _: () = assert!(ivydrift_commons::sections::RECORD_BYTES <= ivydrift_members::message::RECORD_BYTES);
 
 pub struct Peers {
     members: Members,
     number: u16,
     count: u16,
+    own: Sections,
+    level: Level,
     begun: Duration,
     renewed: Duration,
     /// RPCs taken when that was.
@@ -22,14 +33,19 @@
 }
 
 impl Peers {
-    /// None where the terms allow no peers. `life` grows from start to start.
-    pub fn new(terms: &Terms, life: u64, now: Duration) -> Option<Self> {
+    /// None where the terms allow no peers. `life` grows from start to start; `program`: which one this is.
+    pub fn new(terms: &Terms, program: &str, life: u64, now: Duration) -> Option<Self> {
         if !terms.rollout.limits.peers || terms.places.peers.is_empty() {
             return None;
         }
         let (number, count) = (terms.rollout.marshal as u16, terms.places.peers.len() as u16);
         let members = Members::new(number, count, life, terms.rollout.seed ^ life, now, Pace::default());
-        Some(Peers { members, number, count, begun: now, renewed: Duration::ZERO, taken: 0 })
+        let mut own = Sections::default();
+        // Both are far shorter than sections and records may be.
+        let _ = own.put(SPEECH, VALID, &SPOKEN.write(), 0);
+        let _ = own.put(PROGRAM, VALID, program.as_bytes().get(..NAME).unwrap_or(program.as_bytes()), 0);
+        let (renewed, level) = (Duration::ZERO, Level::default());
+        Some(Peers { members, number, count, own, level, begun: now, renewed, taken: 0 })
     }
 
     /// The terms name more or fewer marshals.
@@ -48,11 +64,28 @@
             let span = now.saturating_sub(self.renewed.max(self.begun)).as_secs_f64().max(0.001);
             let rate = (taken.saturating_sub(self.taken) as f64 / span) as f32;
             (self.renewed, self.taken) = (now, taken);
-            // It is far shorter than a record may be.
-            let _ = self.members.publish(peer::pack(&About { rate, ..about() }));
+            // The words as the first program had them, then the sections; together far shorter than a record may be.
+            let _ = self.members.publish([peer::pack(&About { rate, ..about() }), self.own.write()].concat());
         }
         let outs = if now >= self.members.due() { self.members.handle(now, Input::Tick) } else { vec![] };
-        self.orders(outs)
+        let mut orders = self.orders(outs);
+        orders.extend(self.listen(now));
+        orders
+    }
+
+    /// What all that are present speak in common, from their records.
+    fn listen(&mut self, now: Duration) -> Option<Order> {
+        let unknown = Speech { least: 0, most: self.level.get() };
+        let others = self.members.view(now).filter(|v| v.number != self.number && v.state.present());
+        // Whose record has not come yet neither raises nor lowers it.
+        let speech = |v: ivydrift_members::View| v.record.map_or(unknown, |r| speech(r.0, r.2));
+        let (level, was_apart) = (self.level.get(), self.level.apart());
+        let changed = self.level.step(now, others.map(speech));
+        if self.level.apart() && !was_apart {
+            let line = "a marshal is present that speaks no level of speech that this one does";
+            return Some(Order::Log(line.to_owned()));
+        }
+        changed.then(|| Order::Log(format!("level of speech: {level} to {}", self.level.get())))
     }
 
     pub fn hear(&mut self, now: Duration, from: u16, bytes: &[u8]) -> Vec<Order> {
@@ -79,8 +112,8 @@
         outs.into_iter().filter_map(order).collect()
     }
 
-    /// A page of who is there, as far as we know.
-    pub fn view(&self, now: Duration, first: u16) -> View {
+    /// A page of who is there, as far as we know, and what stands behind it.
+    pub fn view(&self, now: Duration, first: u16) -> (View, More) {
         let ms = |span: Duration| span.as_millis() as u64;
         let row = |v: ivydrift_members::View| Row {
             number: v.number,
@@ -91,13 +124,132 @@
             about: v.record.and_then(|(bytes, _, age)| Some((peer::unpack(bytes)?, ms(age)))),
         };
         let age = now.saturating_sub(self.begun).as_secs_f64().max(0.001);
-        View {
+        let shown = || self.members.view(now).skip(first.into()).take(peer::ROWS);
+        let said = |v: ivydrift_members::View| {
+            let (bytes, _, age) = v.record?;
+            let sections = sections(bytes)?;
+            let program = sections.get(PROGRAM, age).map(|s| String::from_utf8_lossy(&s.bytes).into_owned());
+            Some((speech(bytes, age).most, program.unwrap_or_default()))
+        };
+        let rows = shown().map(said).collect();
+        let more = More { level: self.level.get(), apart: self.level.apart(), rows };
+        let view = View {
             number: self.number,
             of: self.count,
             first,
             doubt: self.members.health() as u8,
             sent: (self.members.traffic().sent_bytes as f64 / age) as f32,
-            rows: self.members.view(now).skip(first.into()).take(peer::ROWS).map(row).collect(),
+            rows: shown().map(row).collect(),
+        };
+        (view, more)
+    }
+}
+
+/// The sections behind a record's words, where its program writes any.
+fn sections(record: &[u8]) -> Option<Sections> {
+    Sections::read(peer::unpack_first::<About>(record)?.1)
+}
+
+fn speech(record: &[u8], age: Duration) -> Speech {
+    let sections = sections(record);
+    Speech::read(sections.as_ref().and_then(|s| s.get(SPEECH, age)).map(|s| &s.bytes[..]))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use ivydrift_members::message::RECORD_BYTES;
+    use ivydrift_members::State;
+    use ivydrift_terms::{read, EXAMPLE};
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    fn about() -> About {
+        About { zone: 1, region: 0, rate: 12.5, ready: 9 }
+    }
+
+    /// One marshal of this program, and one as the program before had it: membership, and words with nothing behind.
+    struct Pair {
+        new: Peers,
+        old: Members,
+        now: Duration,
+        /// The old one takes part.
+        there: bool,
+    }
+
+    impl Pair {
+        fn new() -> Pair {
+            let mut terms = read("edge.hcl", EXAMPLE).unwrap();
+            (terms.rollout.limits.peers, terms.rollout.marshal) = (true, 0);
+            terms.places.peers = (0..2).map(|n| ([127, 0, 0, 1], 7100 + n).into()).collect();
+            let new = Peers::new(&terms, "0.1.0-0123abcd", 5, ms(0)).unwrap();
+            let old = Members::new(1, 2, 7, 3, ms(0), Pace::default());
+            Pair { new, old, now: ms(0), there: true }
+        }
+
+        fn run(&mut self, span: Duration) {
+            let end = self.now + span;
+            while self.now < end {
+                self.now += ms(25);
+                let mut orders = self.new.tick(self.now, about, 0);
+                let mut outs = vec![];
+                if self.there {
+                    self.old.publish(peer::pack(&about())).unwrap();
+                    outs = if self.now >= self.old.due() {
+                        self.old.handle(self.now, Input::Tick)
+                    } else {
+                        vec![]
+                    };
+                }
+                for _ in 0..4 {
+                    let theirs = std::mem::take(&mut outs);
+                    for order in std::mem::take(&mut orders) {
+                        let Order::Tell { datagram, .. } = order else { continue };
+                        let (kind, from, bytes) = peer::read(&datagram).unwrap();
+                        assert_eq!((kind, from), (Kind::Members, 0), "what the program before does not know");
+                        if self.there {
+                            outs.extend(self.old.handle(self.now, Input::Heard { from: 0, bytes }));
+                        }
+                    }
+                    for out in theirs {
+                        if let Out::Send { bytes, .. } = out {
+                            orders.extend(self.new.hear(self.now, 1, &bytes));
+                        }
+                    }
+                }
+            }
         }
     }
+
+    #[test]
+    fn the_program_before_reads_our_words_carries_our_sections_and_keeps_the_level_down() {
+        let mut pair = Pair::new();
+        pair.run(ms(60_000));
+        let seen = pair.old.view(pair.now).find(|v| v.number == 0).unwrap();
+        let (record, ..) = seen.record.unwrap();
+        let ours = About { rate: 0.0, ..about() };
+        assert_eq!(
+            (seen.state, peer::unpack::<About>(record)),
+            (State::Alive, Some(ours)),
+            "as it reads them"
+        );
+        assert!(record.len() <= RECORD_BYTES);
+        let carried = sections(record).unwrap();
+        assert_eq!(carried.get(PROGRAM, ms(0)).map(|s| &s.bytes[..]), Some(&b"0.1.0-0123abcd"[..]));
+        let (view, more) = pair.new.view(pair.now, 0);
+        assert_eq!(view.rows[1].about.as_ref().map(|a| a.0.clone()), Some(about()), "and we its");
+        assert_eq!((more.level, &more.rows[1]), (0, &None));
+        assert_eq!(more.rows[0], Some((1, "0.1.0-0123abcd".into())));
+        // It is gone: the level goes up once it has been for long, and down when it is back.
+        pair.there = false;
+        pair.run(ms(25_000));
+        assert_eq!(pair.new.view(pair.now, 0).1.level, 0);
+        pair.run(ms(25_000));
+        assert_eq!(pair.new.view(pair.now, 0).1.level, 1);
+        (pair.there, pair.old) = (true, Members::new(1, 2, 8, 4, pair.now, Pace::default()));
+        pair.run(ms(10_000));
+        assert_eq!(pair.new.view(pair.now, 0).1.level, 0);
+    }
 }
