--- /dev/null
+++ b/crates/commons/src/large.rs
@@ -0,0 +1,224 @@
+//! State too large for a record: its owner says version, length and digest in a section, and who wants it fetches it in
+//! pieces, along a tree that all agree on, so that no marshal sends more the more marshals there are.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ivydrift_leases::order::order;
+use ivydrift_leases::Number;
+use serde::{Deserialize, Serialize};
+
+/// The largest state, and the bytes of one piece.
+pub const STATE_BYTES: usize = 64 * 1024;
+pub const PIECE_BYTES: usize = 1000;
+/// States held at once, our own among them: the one that was wanted first goes where there are more.
+pub const STATES: usize = 16;
+/// Who asks one marshal directly, at most.
+const FAN: usize = 4;
+/// Pieces asked for, and answered, in a second at most; as many may come together.
+const ASKED: f64 = 20.0;
+const ANSWERED: f64 = 40.0;
+/// A question unanswered for so long is put again.
+const AGAIN: Duration = Duration::from_millis(400);
+/// Who has answered nothing for so long is passed over for the one above it.
+const SILENT: Duration = Duration::from_millis(2500);
+
+/// Whose state, and which of its states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key {
+    pub owner: Number,
+    pub id: u16,
+}
+
+/// What the owner says of a state, in a section of its record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    pub version: u32,
+    pub length: u32,
+    pub digest: [u8; 16],
+}
+
+impl Notice {
+    /// None where it is too long.
+    pub fn of(version: u32, bytes: &[u8]) -> Option<Notice> {
+        (bytes.len() <= STATE_BYTES).then(|| Notice {
+            version,
+            length: bytes.len() as u32,
+            digest: digest(bytes),
+        })
+    }
+
+    fn pieces(&self) -> usize {
+        (self.length as usize).div_ceil(PIECE_BYTES)
+    }
+}
+
+fn digest(bytes: &[u8]) -> [u8; 16] {
+    let mut first = [0; 16];
+    first.copy_from_slice(&blake3::hash(bytes).as_bytes()[..16]);
+    first
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    Ask { key: Key, version: u32, piece: u16 },
+    Piece { key: Key, version: u32, piece: u16, bytes: Vec<u8> },
+}
+
+struct State {
+    notice: Notice,
+    pieces: Vec<Option<Vec<u8>>>,
+    /// All of it, once its digest was found right.
+    whole: Option<Vec<u8>>,
+    /// When each missing piece was asked for.
+    asked: Vec<Option<Duration>>,
+    /// So many steps above the one next above us are asked, since then.
+    higher: usize,
+    since: Duration,
+    wanted: u64,
+}
+
+/// A store that fills with time.
+struct Store {
+    left: f64,
+    at: Duration,
+}
+
+impl Store {
+    fn take(&mut self, now: Duration, rate: f64) -> bool {
+        self.left = (self.left + rate * now.saturating_sub(self.at).as_secs_f64()).min(rate);
+        self.at = now;
+        let has = self.left >= 1.0;
+        self.left -= f64::from(u8::from(has));
+        has
+    }
+}
+
+/// The states of one marshal: its own, and those that it wants of others.
+pub struct States {
+    me: Number,
+    all: BTreeMap<Key, State>,
+    asks: Store,
+    answers: Store,
+    count: u64,
+}
+
+impl States {
+    pub fn new(me: Number, now: Duration) -> Self {
+        let store = |rate| Store { left: rate, at: now };
+        States { me, all: BTreeMap::new(), asks: store(ASKED), answers: store(ANSWERED), count: 0 }
+    }
+
+    /// Our own state from now on; what to say of it. None where it is too long.
+    pub fn offer(&mut self, now: Duration, id: u16, version: u32, bytes: &[u8]) -> Option<Notice> {
+        let notice = Notice::of(version, bytes)?;
+        let key = Key { owner: self.me, id };
+        self.enter(now, key, notice);
+        if let Some(state) = self.all.get_mut(&key) {
+            state.pieces = bytes.chunks(PIECE_BYTES).map(|piece| Some(piece.to_vec())).collect();
+            state.whole = Some(bytes.to_vec());
+        }
+        Some(notice)
+    }
+
+    /// This state of another is wanted, as its owner says of it; an earlier version is dropped.
+    pub fn want(&mut self, now: Duration, key: Key, notice: Notice) {
+        let known = self.all.get(&key).is_some_and(|s| s.notice == notice);
+        if !known && key.owner != self.me && notice.length as usize <= STATE_BYTES {
+            self.enter(now, key, notice);
+        }
+    }
+
+    fn enter(&mut self, now: Duration, key: Key, notice: Notice) {
+        self.count += 1;
+        let (pieces, wanted) = (notice.pieces(), self.count);
+        let (blank, whole) = (vec![None; pieces], (pieces == 0).then(Vec::new));
+        let state =
+            State { notice, pieces: blank, whole, asked: vec![None; pieces], higher: 0, since: now, wanted };
+        self.all.insert(key, state);
+        if self.all.len() > STATES {
+            let others = self.all.iter().filter(|(k, _)| k.owner != self.me);
+            let first = others.min_by_key(|(_, s)| s.wanted).map(|(k, _)| *k);
+            first.into_iter().for_each(|k| drop(self.all.remove(&k)));
+        }
+    }
+
+    /// A state, once all of it is here.
+    pub fn get(&self, key: Key) -> Option<(u32, &[u8])> {
+        let state = self.all.get(&key)?;
+        state.whole.as_deref().map(|whole| (state.notice.version, whole))
+    }
+
+    /// What to ask now. `marshals`: all there are by the terms; `present`: who takes part.
+    pub fn beat(
+        &mut self, now: Duration, marshals: &[Number], present: &dyn Fn(Number) -> bool,
+    ) -> Vec<(Number, Word)> {
+        let (me, mut out) = (self.me, Vec::new());
+        for (&key, state) in self.all.iter_mut().filter(|(_, s)| s.whole.is_none()) {
+            let above = above(me, key, marshals, present);
+            if now >= state.since + SILENT {
+                (state.higher, state.since) = ((state.higher + 1) % above.len().max(1), now);
+            }
+            let Some(&to) = above.get(state.higher.min(above.len().saturating_sub(1))) else { continue };
+            let version = state.notice.version;
+            for (piece, asked) in state.asked.iter_mut().enumerate() {
+                let due = state.pieces[piece].is_none() && asked.is_none_or(|at| now >= at + AGAIN);
+                if due && self.asks.take(now, ASKED) {
+                    *asked = Some(now);
+                    out.push((to, Word::Ask { key, version, piece: piece as u16 }));
+                }
+            }
+        }
+        out
+    }
+
+    /// What to answer to a word of another.
+    pub fn hear(&mut self, now: Duration, word: Word) -> Option<Word> {
+        match word {
+            Word::Ask { key, version, piece } => {
+                let state = self.all.get(&key).filter(|s| s.notice.version == version)?;
+                let bytes = state.pieces.get(usize::from(piece))?.clone()?;
+                self.answers.take(now, ANSWERED).then_some(Word::Piece { key, version, piece, bytes })
+            }
+            Word::Piece { key, version, piece, bytes } => {
+                let state =
+                    self.all.get_mut(&key).filter(|s| s.notice.version == version && s.whole.is_none())?;
+                let last = usize::from(piece) + 1 == state.pieces.len();
+                let length = if last {
+                    state.notice.length as usize - usize::from(piece) * PIECE_BYTES
+                } else {
+                    PIECE_BYTES
+                };
+                let place = state
+                    .pieces
+                    .get_mut(usize::from(piece))
+                    .filter(|p| p.is_none() && bytes.len() == length)?;
+                (*place, state.since) = (Some(bytes), now);
+                if state.pieces.iter().all(Option::is_some) {
+                    let whole: Vec<u8> = state.pieces.iter().flatten().flatten().copied().collect();
+                    if digest(&whole) == state.notice.digest {
+                        state.whole = Some(whole);
+                    } else {
+                        // Somebody on the way had it wrong: all anew, from the one above it.
+                        state.pieces.fill(None);
+                        state.asked.fill(None);
+                        (state.higher, state.since) = (state.higher + 1, now);
+                    }
+                }
+                None
+            }
+        }
+    }
+}
+
+/// Whom to ask for a state, the nearest first, the owner last: the marshals that are present in the order of this key,
+/// the owner in front, as a tree.
+fn above(me: Number, key: Key, marshals: &[Number], present: &dyn Fn(Number) -> bool) -> Vec<Number> {
+    let others: Vec<Number> = marshals.iter().copied().filter(|n| *n != key.owner).collect();
+    let group = u64::from(key.owner) << 16 | u64::from(key.id);
+    let there = order(group, &others).into_iter().filter(|n| *n == me || present(*n));
+    let chain: Vec<Number> = std::iter::once(key.owner).chain(there).collect();
+    let place = chain.iter().position(|n| *n == me).unwrap_or(0);
+    let up = |i: &usize| (*i > 0).then(|| (i - 1) / FAN);
+    std::iter::successors(Some(place), up).skip(1).map(|i| chain[i]).collect()
+}
--- a/crates/commons/src/lib.rs
+++ b/crates/commons/src/lib.rs
@@ -8,5 +8,6 @@
 //! No socket, clock or thread.
 #![forbid(unsafe_code)]
 
+pub mod large;
 pub mod level;
 pub mod sections;
