--- /dev/null
+++ b/crates/ivydrift/tests/fleet/mod.rs
@@ -0,0 +1,146 @@
+//! A fleet of marshals as processes, with a relay on the links between them that does harm.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use ivydrift_standin::links::{Fault, Harm, Links};
+use ivydrift_standin::relay::Relay;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use serde_json::Value;
+use tempfile::TempDir;
+
+pub const PROGRAM: &str = env!("CARGO_BIN_EXE_ivydrift");
+
+/// Addresses that no other test and no other run on this machine has: a net of 127.0.0.0/8 for each process,
+/// sixteen of it for each fleet.
+pub fn addresses(fleet: u8, count: usize) -> Vec<SocketAddr> {
+    let pid = std::process::id();
+    let (net, own) = (64 + (pid >> 8 & 127) as u8, pid as u8);
+    let one = |n: usize| SocketAddr::from(([127, net, own, 16 * fleet + 1 + n as u8], 7100));
+    assert!(count < 16 && fleet < 15);
+    (0..count).map(one).collect()
+}
+
+pub struct Fleet {
+    pub folder: TempDir,
+    pub own: Vec<SocketAddr>,
+    pub relay: Relay,
+    pub children: Vec<Option<Child>>,
+    /// What each runs.
+    pub programs: Vec<PathBuf>,
+}
+
+impl Fleet {
+    pub fn start((name, index): (&str, u8), count: usize) -> Fleet {
+        let folder = tempfile::Builder::new().prefix(name).tempdir().unwrap();
+        let own = addresses(index, count);
+        let relay = Relay::new(&own, Links::new(7, vec![])).unwrap();
+        let children = (0..count).map(|_| None).collect();
+        let programs = vec![PathBuf::from(PROGRAM); count];
+        let mut fleet = Fleet { folder, own, relay, children, programs };
+        (0..count).for_each(|n| fleet.launch(n));
+        fleet
+    }
+
+    pub fn launch(&mut self, number: usize) {
+        let quoted =
+            |all: Vec<SocketAddr>| all.iter().map(|a| format!("\"{a}\"")).collect::<Vec<_>>().join(", ");
+        let (count, own) = (self.own.len(), self.own[number]);
+        // Nobody listens at the list's and the desk's address: they are away all the time.
+        let terms = format!(
+            "zones = [\"a\", \"b\"]\n\
+             marshal {{\n  number = {number}\n  of = {count}\n  zone = \"{}\"\n}}\n\
+             places {{\n  listen = \"{own}\"\n  node_list = \"127.0.0.1:9\"\n  service = \"town\"\n  \
+             release_desk = \"127.0.0.1:9\"\n  peers = [{}]\n}}\n\
+             method \"read\" {{\n  repeat = \"idempotent\"\n  soft_deadline = \"800ms\"\n  deadline = \"3s\"\n}}\n",
+            ["a", "b"][number % 2],
+            quoted(self.relay.told(number, own)),
+        );
+        let file = self.folder.path().join(format!("edge-{number}.hcl"));
+        std::fs::write(&file, terms).unwrap();
+        let log = std::fs::File::create(self.folder.path().join(format!("edge-{number}.log"))).unwrap();
+        let mut edge = Command::new(&self.programs[number]);
+        edge.arg("edge").arg(&file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        self.children[number] = Some(edge.spawn().unwrap());
+    }
+
+    pub fn kill(&mut self, number: usize) {
+        if let Some(mut child) = self.children[number].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn signal(&self, number: usize, signal: Signal) {
+        let child = self.children[number].as_ref().unwrap();
+        kill(Pid::from_raw(child.id() as i32), signal).unwrap();
+    }
+
+    /// What this marshal shows.
+    pub fn page(&self, by: usize) -> Option<Value> {
+        let out =
+            Command::new(PROGRAM).args(["peers", "--json", &self.own[by].to_string()]).output().unwrap();
+        let view: Value = serde_json::from_slice(&out.stdout).ok()?;
+        assert_eq!(view["marshal"], by);
+        Some(view)
+    }
+
+    /// Waits until all of these show this level of speech.
+    pub fn speak(&self, all: &[usize], level: u64, within: u64) {
+        let end = Instant::now() + Duration::from_secs(within);
+        while !all.iter().all(|by| self.page(*by).is_some_and(|page| page["level"] == level)) {
+            assert!(
+                Instant::now() < end,
+                "not level {level}: {:?}",
+                all.iter().map(|by| self.page(*by)).collect::<Vec<_>>()
+            );
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    }
+
+    /// State and life of each marshal, as this one shows them.
+    pub fn shown(&self, by: usize) -> Option<Vec<(String, u64)>> {
+        let view = self.page(by)?;
+        let row = |m: &Value| Some((m["state"].as_str()?.to_owned(), m["life"].as_u64()?));
+        view["members"].as_array()?.iter().map(row).collect()
+    }
+
+    /// Waits until this marshal shows the others so; what it shows at last, where it does not.
+    pub fn shows(&self, by: usize, within: u64, wanted: impl Fn(&[(String, u64)]) -> bool) {
+        let end = Instant::now() + Duration::from_secs(within);
+        loop {
+            let shown = self.shown(by);
+            if shown.as_ref().is_some_and(|s| wanted(s)) {
+                return;
+            }
+            assert!(Instant::now() < end, "marshal {by} shows {shown:?}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    pub fn all_see_all(&self, within: u64) {
+        let all = |s: &[(String, u64)]| s.iter().all(|m| m.0 == "alive");
+        (0..self.own.len()).for_each(|by| self.shows(by, within, all));
+    }
+
+    /// How often this marshal's log says that another entered the state.
+    pub fn logged(&self, by: usize, of: usize, state: &str) -> usize {
+        let log = std::fs::read_to_string(self.folder.path().join(format!("edge-{by}.log"))).unwrap();
+        let line = |l: &&str| l.contains(&format!("marshal {of}: ")) && l.contains(&format!(" to {state},"));
+        log.lines().filter(line).count()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        (0..self.own.len()).for_each(|n| self.kill(n));
+    }
+}
+
+pub fn fault(from: &[usize], to: &[usize], harm: Harm) -> Fault {
+    let none = Duration::ZERO;
+    Fault { at: none, lasts: none, from: from.to_vec(), to: to.to_vec(), both: false, harm }
+}
