--- a/crates/policy/src/policy/vote.rs
+++ b/crates/policy/src/policy/vote.rs
@@ -20,7 +20,8 @@
         let released = news.course == Course::Released;
         // Its test ends with the trial, or nothing is sent to it, and all pushed back where it is alone.
         self.strain.since = self.strain.since.filter(|_| !released);
-        // Questions: soundness by method, of all, spoilt answers, payoff, pace; with margin and variance.
+        // Questions: soundness by method, of all, spoilt answers, what the desk counted, payoff, pace; with
+        // margin and variance.
         let (mut sound, payoff) = (Pair::default(), pairs.remove(0));
         let strain = Strain::pool(pairs.split_off(cx.law.duties.len() + 2));
         let (whole, pace) = (pairs.pop().unwrap_or_default(), pairs.pop().unwrap_or_default());
@@ -75,9 +76,9 @@
         // Where all marshals' votes are more than the desk takes, one that stands is renewed as it lapses,
         // and who was turned away asks again by lot: slots for all come too late for the few that are needed.
         let draw = lot(cx.law.seed, self.cast.map_or(0, |c| c.1.as_nanos() as u64));
-        let soon =
-            secs(cx.law.vote_gap * (0.05 + 0.4 * draw)).clamp(ms(200), life.mul_f64(0.25 + 0.5 * draw));
-        let gap = secs((2.0 * cx.law.vote_gap).max(0.3)).min(life.mul_f64(0.25 + 0.5 * draw));
+        let within = life.mul_f64(0.25 + 0.5 * draw);
+        let soon = secs(cx.law.vote_gap * (0.05 + 0.4 * draw)).max(ms(200)).min(within);
+        let gap = secs((2.0 * cx.law.vote_gap).max(0.3)).min(within);
         let pause = match self.cast.filter(|c| c.0 == wish) {
             Some((.., VoteReply::Counts | VoteReply::Moot)) => {
                 life.mul_f64(0.6).max(secs(cx.law.vote_gap).min(life))
--- a/crates/policy/tests/marshal/desk.rs
+++ b/crates/policy/tests/marshal/desk.rs
@@ -80,3 +80,19 @@
     let (least, most) = (gaps.first().copied().unwrap(), gaps.last().copied().unwrap());
     assert!(least >= 2 && most <= 18 && most - least >= 6 && gaps.len() >= 4, "{gaps:?} tenths of a second");
 }
+
+#[test]
+fn votes_that_stand_for_a_moment_only_are_asked_again_all_the_same() {
+    let mut terms = RolloutTerms { marshals: 300, ..terms() };
+    (terms.release.vote_rate, terms.release.on_votes) = (80.0, 100);
+    terms.release.vote_life = ms(300);
+    let mut w = World::new(terms, 8);
+    w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Unasked);
+    let now = w.now;
+    (8..10).for_each(|n| w.list(n, 2, Readiness::Ready, Some(now)));
+    for _ in 0..100 {
+        w.run(ms(100), 5);
+        w.tell(2, 0, Course::OnTrial, 0.35, VoteReply::Full);
+    }
+    assert!(w.votes.len() > 5, "{}", w.votes.len());
+}
