The level of speech is looked at twice a second, not at every wake

Seen on rereading: each wake of the core, some fifty a second, read the records of all members to find the level: at 300 marshals 15,000 records a second in each. Tests as before.

--- a/crates/marshal/src/peers.rs
+++ b/crates/marshal/src/peers.rs
@@ -60,16 +60,17 @@
 
     /// `about`: what we say of ourselves, the rate left out; `taken`: RPCs since the start.
     pub fn tick(&mut self, now: Duration, about: impl Fn() -> About, taken: u64) -> Vec<Order> {
+        let mut orders = Vec::new();
         if now >= self.renewed + RENEW {
             let span = now.saturating_sub(self.renewed.max(self.begun)).as_secs_f64().max(0.001);
             let rate = (taken.saturating_sub(self.taken) as f64 / span) as f32;
             (self.renewed, self.taken) = (now, taken);
             // The words as the first program had them, then the sections; together far shorter than a record may be.
             let _ = self.members.publish([peer::pack(&About { rate, ..about() }), self.own.write()].concat());
+            orders.extend(self.listen(now));
         }
         let outs = if now >= self.members.due() { self.members.handle(now, Input::Tick) } else { vec![] };
-        let mut orders = self.orders(outs);
-        orders.extend(self.listen(now));
+        orders.extend(self.orders(outs));
         orders
     }
 
