A marshal's own large states are bounded too

Seen on rereading: what is wanted of others gives way beyond 16 states, but a marshal's own were counted by nobody. Change: a seventeenth of our own is refused to who offers it. The test of bounds has it; without the bound all 100 are taken.

--- a/crates/commons/src/large.rs
+++ b/crates/commons/src/large.rs
@@ -109,10 +109,14 @@
         States { me, all: BTreeMap::new(), asks: store(ASKED), answers: store(ANSWERED), count: 0 }
     }
 
-    /// Our own state from now on; what to say of it. None where it is too long.
+    /// Our own state from now on; what to say of it. None where it is too long, or where there are [`STATES`] of ours.
     pub fn offer(&mut self, now: Duration, id: u16, version: u32, bytes: &[u8]) -> Option<Notice> {
         let notice = Notice::of(version, bytes)?;
         let key = Key { owner: self.me, id };
+        let own = self.all.keys().filter(|k| k.owner == self.me).count();
+        if own >= STATES && !self.all.contains_key(&key) {
+            return None;
+        }
         self.enter(now, key, notice);
         if let Some(state) = self.all.get_mut(&key) {
             state.pieces = bytes.chunks(PIECE_BYTES).map(|piece| Some(piece.to_vec())).collect();
--- a/crates/commons/tests/large.rs
+++ b/crates/commons/tests/large.rs
@@ -195,6 +195,8 @@
     let held = (0..100).filter(|id| states.get(Key { owner: 2, id: *id }).is_some()).count();
     assert_eq!(held, STATES - 1);
     assert!(states.get(Key { owner: 1, id: 1 }).is_some(), "our own stays");
+    let own = (0..100).filter(|id| states.offer(ms(0), *id, 1, b"own").is_some()).count();
+    assert_eq!(own, STATES, "our own are bounded too");
     states.want(ms(0), Key { owner: 3, id: 0 }, Notice { length: u32::MAX, ..notice });
     assert!(states.beat(ms(9000), &[1, 2, 3], &|_| true).is_empty(), "what is too long is not asked for");
 }
