--- /dev/null
+++ b/crates/edge/src/clients/serve.rs
@@ -0,0 +1,124 @@
+//! One RPC of a client connection, from the message to its one final answer.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use ivydrift_marshal::{Input, Order, Saw};
+use ivydrift_wire::http::{HeadWriter, Request};
+
+use super::passage::{Passage, Rest, Unread};
+use super::{Connection, Mail, Served, SLOW_READER};
+use crate::exchange::{Answer, Outgoing, Pick};
+
+impl Connection<'_> {
+    /// Takes one RPC to its final answer.
+    fn serve(
+        &mut self, request: Request, body: Vec<u8>, mut rest: Rest, left: Option<Duration>, go_on: bool,
+    ) -> Served {
+        let (edge, client) = (self.edge, self.client);
+        // Mail for an earlier RPC of this connection is void.
+        client.mail.lock().unwrap().clear();
+        // After a stall, what waited in the socket may be from clients that have long left.
+        if edge.stalled() && self.socket.left() {
+            return Served::Close;
+        }
+        let id = edge.next_id();
+        let mut orders: VecDeque<Order> = {
+            let fields = &request.fields;
+            let call = edge.dialect.call(&request.target, fields, left);
+            edge.begin(id, client, Input::Rpc { id, call }).into()
+        };
+        let Request { verb, target, fields, framing, .. } = request;
+        let framing = Some(framing).filter(|_| !rest.walk.ended());
+        let outgoing = Outgoing { verb, target, fields, body, rest: framing, via: edge.via.clone() };
+        let mut held: Option<(usize, Answer)> = None;
+        let mut keep = go_on;
+        let fine = loop {
+            let order = match orders.pop_front().map(Mail::Order).or_else(|| client.next()) {
+                Some(Mail::Order(order)) => order,
+                Some(Mail::Gone) => break false,
+                None => {
+                    client.wake.wait();
+                    continue;
+                }
+            };
+            // What is left of the body would be read as the next RPC. The order to stop may have come meanwhile.
+            keep = go_on && rest.walk.ended() && !edge.stopping() && !edge.crowded();
+            match order {
+                Order::Pick { pick, node, within, careful, .. } => {
+                    if client.gone.load(Ordering::Acquire) {
+                        break false;
+                    }
+                    *client.pick.lock().unwrap() = (pick, None, false);
+                    let (connect, pool, dialect) = (edge.bounds().connect, &edge.pool, &edge.dialect);
+                    let run = Pick { node, within, careful, connect, pool, dialect };
+                    let (socket, buf, rest) = (&mut self.socket, &mut self.buf, &mut rest);
+                    let mut passage =
+                        Passage { edge, socket, buf, rest, id, pick, go_on, orders: vec![], passing: false };
+                    let (mut saw, answer) = run.run(&outgoing, &**client, &mut passage);
+                    let waited = std::mem::take(&mut passage.rest.waited);
+                    if passage.rest.taken > 0 {
+                        passage.drawn(waited);
+                    }
+                    let passing = passage.passing;
+                    if passage.rest.stopped.is_some() || matches!(saw, Saw::Severed) && passing {
+                        edge.tell(Input::ClientLeft { id }, id);
+                    }
+                    orders.extend(passage.orders);
+                    client.pick.lock().unwrap().1 = None;
+                    if client.gone.load(Ordering::Acquire) && answer.is_none() {
+                        saw = Saw::Severed;
+                    }
+                    held = answer.map(|a| (pick, a)).or(held);
+                    orders.extend(edge.tell(Input::Ended { id, pick, saw }, id));
+                    if passing {
+                        let whole = matches!(saw, Saw::Answer { .. });
+                        break whole;
+                    }
+                    if rest.stopped.is_some() {
+                        break false;
+                    }
+                }
+                Order::Pass { pick, picks, build, .. } => {
+                    let Some((_, answer)) = held.take().filter(|h| h.0 == pick) else { break false };
+                    let mut bytes = answer.head_bytes(&edge.dialect, picks, build, !keep, edge.spread_ms());
+                    bytes.extend_from_slice(&answer.body);
+                    break self.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok();
+                }
+                Order::PushBack { picks, retry_after, why, .. } => {
+                    let head = edge.dialect.push_back(picks, retry_after, why);
+                    break self.finish(head, "pushed back: try again later\n", keep);
+                }
+                Order::Abort { picks, why, .. } => {
+                    let head = edge.dialect.abort(picks, why);
+                    break self.finish(head, "aborted: it may have run\n", keep);
+                }
+                Order::Reject { status, why, .. } => {
+                    let head = HeadWriter::response(status).field("content-type", "text/plain");
+                    break self.finish(head, &format!("{why}\n"), keep);
+                }
+                Order::BreakOff { .. } => break false,
+                // Routed by `post`, or of no concern to one RPC.
+                _ => {}
+            }
+        };
+        edge.end(id);
+        match rest.stopped {
+            Some(Unread::Refused(refusal)) => Served::Refuse(refusal),
+            None if fine && keep && rest.walk.ended() && !client.gone.load(Ordering::Acquire) => Served::On,
+            _ => Served::Close,
+        }
+    }
+
+    fn finish(&self, head: HeadWriter, text: &str, keep: bool) -> bool {
+        let mut head = head.field("content-length", text.len().to_string());
+        if let Some(ms) = self.edge.spread_ms() {
+            head = head.field(ivydrift_wire::rpc::SPREAD_MS, ms.to_string());
+        }
+        if !keep {
+            head = head.field("connection", "close");
+        }
+        let bytes = [&head.finish()[..], text.as_bytes()].concat();
+        self.socket.write(&bytes, Instant::now() + SLOW_READER).is_ok()
+    }
+}
