--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -7,6 +7,7 @@
 //! whose time is up while the module is silent is aborted, and that one whose body is gone ends with its pick.
 #![forbid(unsafe_code)]
 
+mod desk;
 mod directory;
 mod peers;
 mod renewal;
@@ -19,7 +20,7 @@
 use ivydrift_policy::port::*;
 use ivydrift_policy::Marshal;
 use ivydrift_terms::Terms;
-use ivydrift_wire::{desk, peer};
+use ivydrift_wire::{desk as desk_words, peer};
 
 use directory::Directory;
 pub use directory::Rejected;
@@ -296,41 +297,6 @@
         orders.push(Order::Abort { id, picks, why });
     }
 
-    fn news(&mut self, news: &desk::News, events: &mut Vec<Event>) {
-        events.extend(news.stage.map(|stage| stage_event(&stage, VoteReply::Unasked)));
-        let methods = &self.terms.methods;
-        for sums in &news.sums {
-            let Some(method) = methods.iter().position(|m| *m == sums.method) else { continue };
-            let mean = Duration::try_from_secs_f64(sums.mean_ms / 1000.0).unwrap_or_default();
-            let age = Duration::from_millis(sums.age_ms);
-            let (build, picks, failed) = (sums.build, sums.picks, sums.failed.min(sums.picks));
-            events.push(Event::Sums { build, method, picks, failed, mean, age });
-        }
-        for disputed in &news.disputed {
-            let method = methods.iter().position(|m| *m == disputed.method);
-            let node = disputed.node.parse().ok().and_then(|addr| self.directory.find(addr));
-            if let (Some(method), Some(node)) = (method, node) {
-                events.push(Event::Disputed { node, method, age: Duration::from_millis(disputed.age_ms) });
-            }
-        }
-    }
-
-    fn voted(&self, ballot: Ballot) -> Option<Event> {
-        let stand = |reply| {
-            let (build, stage, course) = (0, 0, Course::Withdrawn);
-            Event::Stage { build, stage, course, reply, cap: 0.0, age: Duration::ZERO }
-        };
-        Some(match ballot {
-            // The module reads the standing only from answers that count.
-            Ballot::Failed => stand(VoteReply::Error),
-            Ballot::Silent => stand(VoteReply::Silent),
-            // A vote that counts comes with the standing; without it, nothing is known of either.
-            Ballot::Refused(desk::Counted::Counts) => stand(VoteReply::Silent),
-            Ballot::Refused(counted) => stand(reply_of(counted)),
-            Ballot::Answered(answer) => stage_event(&answer.stage, reply_of(answer.counted)),
-        })
-    }
-
     /// Hands events to the module and carries its actions into orders; true while that made new events.
     fn act(
         &mut self, now: Duration, events: Vec<Event>, more: &mut Vec<Event>, orders: &mut Vec<Order>,
@@ -366,13 +332,13 @@
                 Action::Subscribe(false) | Action::Probe { .. } => {}
                 Action::Vote { verdict, stage, build } => {
                     let verdict = match verdict {
-                        Verdict::None => desk::Verdict::None,
-                        Verdict::On => desk::Verdict::On,
-                        Verdict::Hold => desk::Verdict::Hold,
-                        Verdict::Back => desk::Verdict::Back,
+                        Verdict::None => desk_words::Verdict::None,
+                        Verdict::On => desk_words::Verdict::On,
+                        Verdict::Hold => desk_words::Verdict::Hold,
+                        Verdict::Back => desk_words::Verdict::Back,
                     };
                     let (marshal, stage) = (self.terms.rollout.marshal as u32, stage as u32);
-                    orders.push(Order::Vote(desk::Vote { marshal, verdict, stage, build }));
+                    orders.push(Order::Vote(desk_words::Vote { marshal, verdict, stage, build }));
                 }
             }
         }
@@ -421,23 +387,3 @@
     let ready = directory.ready().min(u16::MAX.into()) as u16;
     peer::About { zone: zone as u16, region: region as u16, rate: 0.0, ready }
 }
-
-fn reply_of(counted: desk::Counted) -> VoteReply {
-    match counted {
-        desk::Counted::Counts => VoteReply::Counts,
-        desk::Counted::Moot => VoteReply::Moot,
-        desk::Counted::Full => VoteReply::Full,
-        desk::Counted::Error => VoteReply::Error,
-    }
-}
-
-fn stage_event(stage: &desk::Stage, reply: VoteReply) -> Event {
-    let course = match stage.course {
-        desk::Course::OnTrial => Course::OnTrial,
-        desk::Course::GoingBack => Course::GoingBack,
-        desk::Course::Released => Course::Released,
-        desk::Course::Withdrawn => Course::Withdrawn,
-    };
-    let age = Duration::from_millis(stage.age_ms);
-    Event::Stage { build: stage.build, stage: stage.stage as usize, course, reply, cap: stage.cap, age }
-}
