--- a/crates/edge/src/clients/serve.rs
+++ b/crates/edge/src/clients/serve.rs
@@ -1,6 +1,7 @@
 //! One RPC of a client connection, from the message to its one final answer.
 
 use std::collections::VecDeque;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use ivydrift_marshal::{Input, Order, Saw};
@@ -12,7 +13,7 @@
 
 impl Connection<'_> {
     /// Takes one RPC to its final answer.
-    fn serve(
+    pub(super) fn serve(
         &mut self, request: Request, body: Vec<u8>, mut rest: Rest, left: Option<Duration>, go_on: bool,
     ) -> Served {
         let (edge, client) = (self.edge, self.client);
@@ -110,7 +111,7 @@
         }
     }
 
-    fn finish(&self, head: HeadWriter, text: &str, keep: bool) -> bool {
+    pub(super) fn finish(&self, head: HeadWriter, text: &str, keep: bool) -> bool {
         let mut head = head.field("content-length", text.len().to_string());
         if let Some(ms) = self.edge.spread_ms() {
             head = head.field(ivydrift_wire::rpc::SPREAD_MS, ms.to_string());
--- a/crates/edge/src/clients/tests.rs
+++ b/crates/edge/src/clients/tests.rs
@@ -17,8 +17,7 @@
         let _ = tell.send(("busy", busy.asked() && !busy.give_up() && busy.spare().is_none()));
         resting.asked();
         resting.rest();
-        let _ =
-            tell.send(("resting", resting.spare().is_some() && resting.give_up() && !resting.spoken()));
+        let _ = tell.send(("resting", resting.spare().is_some() && resting.give_up() && !resting.spoken()));
         let _ = tell.send(("resting, asked", !resting.asked()));
     });
     for what in ["new", "busy", "resting", "resting, asked"] {
--- a/crates/edge/tests/hard/main.rs
+++ b/crates/edge/tests/hard/main.rs
@@ -5,5 +5,6 @@
 mod machine;
 mod nodes;
 mod platform;
+mod platform_scene;
 mod process;
 mod scene;
--- /dev/null
+++ b/crates/edge/tests/hard/platform_scene.rs
@@ -0,0 +1,156 @@
+//! The operators' platform among scripted neighbours, for the tests of the second dialect.
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use crate::process::Process;
+use crate::scene::*;
+
+pub const FILE: &str = include_str!("../../../platform/tests/start.json");
+
+/// Members and a desk for these nodes. Watches are held; the desk says `lines` to who follows, then stays.
+pub struct Platform {
+    pub members: Node,
+    pub desk: SocketAddr,
+    pub follows: Arc<AtomicUsize>,
+    pub votes: Arc<Mutex<Vec<String>>>,
+}
+
+pub fn listed(nodes: &[(SocketAddr, u32)]) -> String {
+    let one = |(i, (addr, build)): (usize, &(SocketAddr, u32))| {
+        format!(
+            r#"{{"id":"s-{i}","host_port":"{addr}","locality":"site-a","flavor":"full-1c","cell":1,
+            "phase":"active","size":1.0,"up_since_ms":0,"image_id":{build}}}"#
+        )
+    };
+    let members = nodes.iter().enumerate().map(one).collect::<Vec<_>>().join(",");
+    format!(r#"{{"revision":1,"complete":true,"members":[{members}]}}"#)
+}
+
+pub fn platform(nodes: &[(SocketAddr, u32)], lines: &'static [&'static str]) -> Platform {
+    let list = listed(nodes);
+    let members = node_of(move |message, stream| {
+        if message.contains("from=1") {
+            std::thread::sleep(ms(2000));
+            return ok(stream, r#"{"revision":1,"complete":false,"members":[]}"#);
+        }
+        ok(stream, &list)
+    });
+    let (follows, votes) = (Arc::new(AtomicUsize::new(0)), Arc::new(Mutex::new(Vec::new())));
+    let (count, heard) = (follows.clone(), votes.clone());
+    let desk = raw(move |stream| {
+        let mut first = [0; 64];
+        let n = stream.read(&mut first).unwrap_or(0);
+        let said = String::from_utf8_lossy(&first[..n]).into_owned();
+        if said == "follow\r\n" {
+            let nth = count.fetch_add(1, Ordering::SeqCst);
+            say(stream, "OK\r\n* ROLLOUT 1 2 live 1.0 90000\r\n");
+            if nth == 0 && !lines.is_empty() {
+                lines.iter().all(|line| say(stream, line));
+            }
+            while say(stream, "*\r\n") {
+                std::thread::sleep(ms(500));
+            }
+        } else {
+            heard.lock().unwrap().push(said);
+            say(stream, "ERR moot\r\n");
+        }
+    });
+    Platform { members, desk: desk.addr, follows, votes }
+}
+
+/// A node that looks at each message.
+pub fn node_of(script: impl Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static) -> Node {
+    raw(move |stream| {
+        while let Some(message) = read_message(stream) {
+            if !script(&message, stream) {
+                return;
+            }
+        }
+    })
+}
+
+pub fn file(listen: SocketAddr, p: &Platform) -> String {
+    FILE.replace("10.0.0.4:5000", &listen.to_string())
+        .replace("10.2.0.1:8500", &p.members.addr.to_string())
+        .replace("10.2.0.2:6400", &p.desk.to_string())
+        .replace("\"revision\": 41", "\"revision\": 0")
+        .replace("\"phase\": \"active\"", "\"phase\": \"left\"")
+        .replace(
+            r#""release": 42, "tranche": 1, "mode": "testing", "exposure": 0.28"#,
+            r#""release": 1, "tranche": 2, "mode": "live", "exposure": 1.0"#,
+        )
+        .replace("\"sockets\": 1024", "\"sockets\": 256")
+}
+
+pub struct Stage {
+    pub running: ivydrift_edge::Running,
+    pub platform: Platform,
+}
+
+impl Stage {
+    pub fn new(nodes: &[SocketAddr]) -> Self {
+        let nodes: Vec<(SocketAddr, u32)> = nodes.iter().map(|n| (*n, 1)).collect();
+        Self::with(&nodes, &[])
+    }
+
+    pub fn with(nodes: &[(SocketAddr, u32)], lines: &'static [&'static str]) -> Self {
+        let platform = platform(nodes, lines);
+        let text = file("127.0.0.1:0".parse().unwrap(), &platform);
+        let start = ivydrift_platform::start::read("start.json", &text).unwrap();
+        let running = ivydrift_edge::start_on_platform(start).unwrap();
+        wait_for("the list", ms(3000), || running.nodes() == nodes.len());
+        Stage { running, platform }
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        connect(self.running.listens)
+    }
+
+    pub fn ask(&self, text: &str) -> Answer {
+        let mut stream = self.connect();
+        say(&mut stream, text);
+        answer(&mut stream).expect("an answer")
+    }
+}
+
+pub fn read(id: &str) -> String {
+    format!("GET /calendar-read HTTP/1.1\r\nHost: b\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: 2000\r\n\r\n")
+}
+
+pub fn book(id: &str) -> String {
+    format!(
+        "POST /pickup-book/7?x=1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: {id}\r\nX-Tenant-Id: wadi-tri\r\n\
+         X-Timeout-Ms: 2000\r\nContent-Length: 4\r\n\r\nslot"
+    )
+}
+
+impl Process {
+    pub fn on_platform(name: &str, platform: &Platform) -> Self {
+        let listens = free();
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join(format!("{name}.json"));
+        std::fs::write(&path, file(listens, platform)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_ivydrift-edge"))
+            .arg("--platform")
+            .env("LB_CONFIG", &path)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let process = Process { child, listens, file: path, _folder: folder };
+        wait_for("readiness", ms(5000), || {
+            process.ask("GET /_health HTTP/1.1\r\nHost: b\r\n\r\n") == Some(200)
+        });
+        process
+    }
+
+    pub fn ask(&self, text: &str) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.listens).ok()?;
+        stream.set_read_timeout(Some(ms(4000))).ok()?;
+        say(&mut stream, text);
+        answer(&mut stream).map(|a| a.status)
+    }
+}
