Settings that no marshal could run by are refused with their key, at start and on SIGHUP

Seen: an objective or give_up of 0, no caps, a vote rate of 0 and the like were read without a word, and would show as a division by nothing in mid-run (Charter::new, Duration::from_secs_f64). facts::check names the key and what to write; a SIGHUP with such a file leaves the running terms in force.

--- a/crates/facts/src/lib.rs
+++ b/crates/facts/src/lib.rs
@@ -2,6 +2,8 @@
 //! wire and an object in the platform's file. Keys it does not know are disregarded.
 #![forbid(unsafe_code)]
 
+mod check;
+
 use std::collections::HashMap;
 use std::fmt;
 use std::str::FromStr;
@@ -247,7 +249,7 @@
     let names = |list: &str| -> Result<Vec<String>> {
         (0..p.count(list)?).map(|i| p.text(&format!("{list}.{i}.name")).map(str::to_owned)).collect()
     };
-    Ok(Facts {
+    let facts = Facts {
         terms,
         columns: words("load_report.columns"),
         methods: names("request_classes")?,
@@ -255,7 +257,9 @@
         zones: words("azs"),
         kinds: words("models"),
         connect: if p.has("bounds.dial_timeout") { p.span("bounds.dial_timeout")? } else { DIAL },
-    })
+    };
+    check::whole(&facts)?;
+    Ok(facts)
 }
 
 fn method(p: &Pairs, i: usize) -> Result<MethodTerms> {
--- a/crates/platform/src/start/tests.rs
+++ b/crates/platform/src/start/tests.rs
@@ -32,3 +32,54 @@
     assert!(found.contains("limits.sockets"), "{found}");
     assert!(read("start.json", "{\n  oh\n}").err().unwrap().starts_with("start.json:2:"));
 }
+
+/// Cut at any byte it is no file, and says where it ends.
+#[test]
+fn a_file_cut_anywhere_is_refused_with_the_place() {
+    let whole = FILE.trim_end();
+    for cut in 0..whole.len() {
+        let found =
+            read("start.json", &whole[..cut]).err().unwrap_or_else(|| panic!("cut at {cut} it is read"));
+        assert!(found.starts_with("start.json:"), "{cut}: {found}");
+    }
+}
+
+#[test]
+fn what_no_marshal_could_run_by_is_named_with_its_key_and_what_to_write() {
+    let refused = |path: &str, value: Value| {
+        let mut top: Value = serde_json::from_str(FILE).unwrap();
+        *top["settings"].pointer_mut(&format!("/{path}")).unwrap() = value;
+        read("start.json", &top.to_string()).err().unwrap_or_else(|| panic!("{path} passed"))
+    };
+    let json = |text: &str| serde_json::from_str::<Value>(text).unwrap();
+    for (path, value, names) in [
+        ("request_classes", "[]", "request_classes"),
+        ("request_classes", "7", "request_classes"),
+        ("request_classes/0/objective", "0", "request_classes.0.objective"),
+        ("request_classes/1/give_up", "0", "request_classes.1.give_up"),
+        ("request_classes/1/give_up", "1e300", "request_classes.1.give_up"),
+        ("request_classes/0/give_up", "\"soon\"", "request_classes.0.give_up"),
+        ("request_classes/0/value", "-1", "request_classes.0.value"),
+        ("request_classes/1/name", "\"calendar-read\"", "request_classes.1.name"),
+        ("tenants/0/share", "1.5", "tenants.0.share"),
+        ("tenants/1", "{\"share\": 0.2, \"quota_per_s\": 5}", "tenants.1.name"),
+        ("siblings", "0", "siblings"),
+        ("slot_no", "2", "slot_no"),
+        ("zone", "2", "zone"),
+        ("bounds/most_tries", "0", "bounds.most_tries"),
+        ("bounds/conn_idle", "0", "bounds.conn_idle"),
+        ("bounds/dial_timeout", "0", "bounds.dial_timeout"),
+        ("rules/fall", "0", "rules.fall"),
+        ("rules/cold_from", "0", "rules.cold_from"),
+        ("rules/drain_grace", "1e18", "rules.drain_grace"),
+        ("family_info/exposure_caps", "[]", "exposure_caps"),
+        ("family_info/exposure_caps", "[0.1, 2, 1]", "exposure_caps"),
+        ("family_info/shares", "[0.1]", "shares"),
+        ("family_info/span", "0", "family_info.span"),
+        ("family_info/api_rate", "0", "api_rate"),
+    ] {
+        let found = refused(path, json(value));
+        let placed = found.starts_with("start.json: settings: ") && found.contains(names);
+        assert!(placed, "{path} = {value}: {found}");
+    }
+}
