--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -8,19 +8,18 @@
 mod tests;
 
 use std::io::ErrorKind;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ivydrift_wire::body::{Part, Walk};
 use ivydrift_wire::http::{self, Framing, HeadWriter, Refusal, Request};
-use may::net::TcpListener;
 
 use crate::Edge;
 pub use client::Client;
 use client::{Mail, Stand};
 use ivydrift_sockets::coroutine::{go, pause};
-use ivydrift_sockets::Socket;
+use ivydrift_sockets::{Listener, Socket};
 use passage::{Rest, Unread};
 
 /// A client that takes none of its answer for this long is cut off.
@@ -30,39 +29,42 @@
 const TOO_LONG: Refusal =
     Refusal { status: 413, why: "the body is longer than this marshal passes on (bounds.longest_body_kib)" };
 
-pub fn accept(edge: &Arc<Edge>, listener: &TcpListener) {
-    let number = AtomicU64::new(0);
+/// Takes connections until nothing new is to be taken. What waits in the queue by then has been accepted by this
+/// machine, and may have its RPC written: it is taken as well, or the listener's end would reset it.
+pub fn accept(edge: &Arc<Edge>, listener: &Listener) {
     loop {
-        let stream = match listener.accept() {
-            _ if edge.closing() => return,
-            Ok((stream, _)) => stream,
+        match listener.accept() {
+            Ok(Some(socket)) => welcome(edge, socket),
+            Ok(None) if edge.closing() => return,
+            Ok(None) => listener.wait(),
             Err(e) => {
                 // Out of descriptors, most likely: those that wait in the queue keep their place.
                 tracing::warn!(error = %e, "cannot accept");
                 edge.pool.tidy(true);
                 pause(Duration::from_millis(20));
-                continue;
             }
-        };
-        let socket = Socket::new(stream);
-        let client = Arc::new(Client::new(socket.look()));
-        let name = number.fetch_add(1, Ordering::Relaxed);
-        if !edge.enter(name, &client) {
-            continue;
         }
-        let edge = edge.clone();
-        go(move || {
-            let mut connection = Connection { edge: &edge, client: &client, socket, buf: Vec::new() };
-            if connection.run() {
-                client.stand.store(Stand::Leaving as u8, Ordering::Release);
-                connection.socket.close_gently(Duration::from_millis(500));
-            }
-            connection.socket.cut();
-            edge.leave(name);
-        });
     }
 }
 
+fn welcome(edge: &Arc<Edge>, socket: Socket) {
+    let client = Arc::new(Client::new(socket.look()));
+    let Some(name) = edge.enter(&client) else { return };
+    let edge = edge.clone();
+    go(move || serve(&edge, client, name, socket));
+}
+
+/// Serves a client that was entered under this name, until it or we go.
+pub fn serve(edge: &Arc<Edge>, client: Arc<Client>, name: u64, socket: Socket) {
+    let mut connection = Connection { edge, client: &client, socket, buf: Vec::new() };
+    if connection.run() {
+        client.stand.store(Stand::Leaving as u8, Ordering::Release);
+        connection.socket.close_gently(Duration::from_millis(500));
+    }
+    connection.socket.cut();
+    edge.leave(name);
+}
+
 struct Connection<'a> {
     edge: &'a Arc<Edge>,
     client: &'a Arc<Client>,
@@ -84,9 +86,6 @@
     fn run(&mut self) -> bool {
         loop {
             self.client.rest();
-            if self.edge.closing() && self.buf.is_empty() {
-                return true;
-            }
             let (request, began) = match self.head() {
                 Ok(read) => read,
                 Err(Unread::Over) => return false,
@@ -105,21 +104,28 @@
                 return self.refuse(Refusal { status: 405, why: "this method is not for RPCs" });
             }
             if self.edge.dialect.asks_health(&request) {
-                let status = if self.edge.ready() > 0 { 200 } else { 503 };
+                let status = if self.edge.serves() { 200 } else { 503 };
                 if !self.finish(HeadWriter::response(status), "", keep) || !keep {
                     return true;
                 }
                 continue;
             }
-            let left = match self.edge.dialect.left(&request, &self.edge.live().methods) {
+            // After a stall, what waited in the socket may be from clients that have long left. Its id is still free: it
+            // may come again elsewhere.
+            if self.edge.stalled() && self.socket.left() {
+                return true;
+            }
+            let (left, claim) = match self.edge.dialect.read(&request, &self.edge.live()) {
                 // The client's time has run since its first byte.
-                Ok(left) => left.map(|left| left.saturating_sub(began.elapsed())),
+                Ok((left, claim)) => (left.map(|left| left.saturating_sub(began.elapsed())), claim),
                 Err(refusal) => return self.refuse(refusal),
             };
             let by = began + self.edge.bounds().slow_client;
             let rest =
                 Rest { walk, by, held: body.len() as u64, taken: 0, waited: Duration::ZERO, stopped: None };
-            match self.serve(request, body, rest, left, keep) {
+            let served = self.serve(request, body, rest, left, keep);
+            drop(claim);
+            match served {
                 Served::On if keep => {}
                 Served::On | Served::Close => return true,
                 Served::Refuse(refusal) => return self.refuse(refusal),
--- a/crates/edge/src/clients/serve.rs
+++ b/crates/edge/src/clients/serve.rs
@@ -17,13 +17,8 @@
         &mut self, request: Request, body: Vec<u8>, mut rest: Rest, left: Option<Duration>, go_on: bool,
     ) -> Served {
         let (edge, client) = (self.edge, self.client);
-        // Mail for an earlier RPC of this connection is void.
-        client.mail.lock().unwrap().clear();
-        // After a stall, what waited in the socket may be from clients that have long left.
-        if edge.stalled() && self.socket.left() {
-            return Served::Close;
-        }
         let id = edge.next_id();
+        client.open(id);
         let mut orders: VecDeque<Order> = {
             let fields = &request.fields;
             let call = edge.dialect.call(&request.target, fields, left);
@@ -46,13 +41,15 @@
             // What is left of the body would be read as the next RPC. The order to stop may have come meanwhile.
             keep = go_on && rest.walk.ended() && !edge.stopping() && !edge.crowded();
             match order {
-                Order::Pick { pick, node, within, careful, .. } => {
-                    if client.gone.load(Ordering::Acquire) {
-                        break false;
-                    }
-                    *client.pick.lock().unwrap() = (pick, None, false);
+                Order::Pick { .. } if client.gone.load(Ordering::Acquire) => {
+                    orders.push_front(order);
+                    break false;
+                }
+                Order::Pick { pick, node, by, careful, .. } => {
+                    client.begin(id, pick);
+                    let by = edge.instant(by);
                     let (connect, pool, dialect) = (edge.bounds().connect, &edge.pool, &edge.dialect);
-                    let run = Pick { node, within, careful, connect, pool, dialect };
+                    let run = Pick { node, by, careful, connect, pool, dialect };
                     let (socket, buf, rest) = (&mut self.socket, &mut self.buf, &mut rest);
                     let mut passage =
                         Passage { edge, socket, buf, rest, id, pick, go_on, orders: vec![], passing: false };
@@ -66,7 +63,7 @@
                         edge.tell(Input::ClientLeft { id }, id);
                     }
                     orders.extend(passage.orders);
-                    client.pick.lock().unwrap().1 = None;
+                    client.end();
                     if client.gone.load(Ordering::Acquire) && answer.is_none() {
                         saw = Saw::Severed;
                     }
@@ -104,6 +101,12 @@
             }
         };
         edge.end(id);
+        // Picks that were ordered and never begun, as of a client that left meanwhile: the core counts them as out.
+        let unread = client.shut().into_iter().filter_map(|mail| match mail {
+            Mail::Order(order) => Some(order),
+            Mail::Gone => None,
+        });
+        orders.into_iter().chain(unread).for_each(|order| edge.not_begun(&order));
         match rest.stopped {
             Some(Unread::Refused(refusal)) => Served::Refuse(refusal),
             None if fine && keep && rest.walk.ended() && !client.gone.load(Ordering::Acquire) => Served::On,
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -116,7 +116,7 @@
 
 pub struct Pick<'a> {
     pub node: SocketAddr,
-    pub within: Duration,
+    pub by: Instant,
     pub careful: bool,
     pub connect: Duration,
     pub pool: &'a Pool,
@@ -126,10 +126,13 @@
 impl Pick<'_> {
     /// Sends the RPC and reads its answer. The answer is there whenever [`Saw::Answer`] is.
     pub fn run(&self, rpc: &Outgoing, handle: &dyn Handle, caller: &mut dyn Caller) -> (Saw, Option<Answer>) {
-        let by = Instant::now() + self.within;
-        let mut socket = match self.pool.take(self.node, self.careful) {
+        let (by, began) = (self.by, Instant::now());
+        if began >= by {
+            return (Saw::NotBegun, None);
+        }
+        let mut socket = match self.pool.take(self.node, self.careful, began) {
             Some(socket) => socket,
-            None => match Socket::connect(self.node, self.within.min(self.connect)) {
+            None => match Socket::connect(self.node, (by - began).min(self.connect)) {
                 Ok(socket) => socket,
                 Err(e) => {
                     // EMFILE, ENFILE: idle connections make room for the next.
@@ -141,7 +144,7 @@
             },
         };
         if !handle.hold(socket.look()) {
-            return (Saw::NotSent, None);
+            return (Saw::NotBegun, None);
         }
         let left = by.saturating_duration_since(Instant::now());
         if left.is_zero() {
@@ -176,7 +179,7 @@
         let rest = reader.buf;
         let clean = rest.is_empty() && matches!(upload, Upload::Whole);
         if whole && clean && answer.as_ref().is_some_and(|a| a.head.keep_alive) {
-            self.pool.put(self.node, socket);
+            self.pool.put(self.node, socket, began, Instant::now());
         }
         (saw, answer)
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,9 +8,12 @@
 mod asker;
 mod clients;
 pub mod command;
+#[cfg(test)]
+mod crossings;
 mod dialect;
 
 mod exchange;
+mod ids;
 mod news;
 mod platform;
 mod pool;
@@ -18,17 +21,17 @@
 mod running;
 
 use std::collections::HashMap;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use ivydrift_marshal::{Core, Counts, Id, Input, Order, Repeat};
-use ivydrift_sockets::listen;
+use ivydrift_marshal::{Core, Counts, Id, Input, Order, Repeat, Saw};
+use ivydrift_sockets::{Listener, Waker};
 use ivydrift_terms::{Bounds, Places, Terms};
 use ivydrift_wire::peer;
-use may::net::{TcpListener, UdpSocket};
+use may::net::UdpSocket;
 
 use clients::Client;
 use dialect::Dialect;
@@ -42,6 +45,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// The clock coroutine woke this much too late: the process stood still.
 const STALL: Duration = Duration::from_millis(300);
+/// An address that another process listens on is asked for again for so long: longer than a stop lets clients come.
+const HANDOVER: Duration = Duration::from_secs(2);
 /// Descriptors for all but clients and nodes: listener, event queue, list, desk, votes, standard streams.
 const OTHERS: usize = 16;
 
@@ -53,6 +58,11 @@
     clients: Mutex<HashMap<u64, Arc<Client>>>,
     /// How many those are.
     present: AtomicUsize,
+    /// Client connections whose coroutines have not ended, those that made room for others among them.
+    open: AtomicUsize,
+    names: AtomicU64,
+    /// The listener stands: connections may wait in its queue.
+    accepting: AtomicBool,
     pool: Pool,
     /// What new terms may change.
     live: Mutex<Live>,
@@ -66,6 +76,9 @@
     stop: AtomicBool,
     /// Nothing new is taken any more.
     close: AtomicBool,
+    /// Held where what a place says is told, and where the place changes: of an earlier place nothing is told after.
+    telling: Mutex<()>,
+    votes: Mutex<news::Votes>,
     /// The node list is followed for this count of moves; none at `u64::MAX`.
     watching: AtomicU64,
     /// When the process was last seen to have stood still, and when the clock coroutine last ran, in
@@ -104,6 +117,11 @@
         BEFORE + self.started.elapsed()
     }
 
+    /// A time of the core's as one of this process.
+    fn instant(&self, at: Duration) -> Instant {
+        self.started + at.saturating_sub(BEFORE)
+    }
+
     fn live(&self) -> Live {
         self.live.lock().unwrap().clone()
     }
@@ -124,6 +142,12 @@
         self.core.lock().unwrap().ready()
     }
 
+    /// It can serve, or would keep those waiting who ask: a list that does not come is no reason to be gone.
+    fn serves(&self) -> bool {
+        let waited = |latest| self.started.elapsed() >= latest;
+        self.ready() > 0 || self.bounds().ready_latest.is_some_and(waited)
+    }
+
     fn stopping(&self) -> bool {
         self.stop.load(Ordering::Acquire)
     }
@@ -185,25 +209,34 @@
         mine
     }
 
-    fn post(&self, id: Id, order: Order) {
+    fn post(self: &Arc<Self>, id: Id, order: Order) {
         let client = self.inhand.lock().unwrap().get(&id).cloned();
-        if let Some(client) = client {
-            client.post(order);
+        if !client.is_some_and(|client| client.post(&order)) {
+            self.not_begun(&order);
+        }
+    }
+
+    /// An order that nobody will carry out. A pick among them counts as out until its end is told.
+    fn not_begun(self: &Arc<Self>, order: &Order) {
+        if let Order::Pick { id, pick, .. } = *order {
+            self.tell(Input::Ended { id, pick, saw: Saw::NotBegun }, 0);
         }
     }
 
-    /// Enters a client connection; false where there are too many.
-    fn enter(&self, name: u64, client: &Arc<Client>) -> bool {
+    /// Enters a client connection, under a name; none where there are too many.
+    fn enter(&self, client: &Arc<Client>) -> Option<u64> {
         let mut clients = self.clients.lock().unwrap();
         if clients.len() >= self.bounds().crowd {
             self.make_room(&mut clients);
         }
         let room = !self.full(clients.len() + 1) || self.make_room(&mut clients);
-        if room {
+        room.then(|| {
+            let name = self.names.fetch_add(1, Ordering::Relaxed);
             clients.insert(name, client.clone());
             self.present.store(clients.len(), Ordering::Relaxed);
-        }
-        room
+            self.open.fetch_add(1, Ordering::AcqRel);
+            name
+        })
     }
 
     /// So many clients are here that each should leave with its answer.
@@ -222,8 +255,11 @@
 
     /// Closes the client connection that is missed least; false where each has a message in hand.
     fn make_room(&self, clients: &mut HashMap<u64, Arc<Client>>) -> bool {
-        let spare = clients.iter().filter_map(|(name, c)| Some((c.spare()?, *name))).max();
-        spare.and_then(|(_, name)| clients.remove(&name)).is_some_and(|client| client.give_up())
+        let mut spare: Vec<_> = clients.iter().filter_map(|(name, c)| Some((c.spare()?, *name))).collect();
+        spare.sort_unstable();
+        // One of them may have been sent a message since it was looked at: then the next makes room.
+        let given = spare.iter().rev().map(|(_, name)| *name).find(|name| clients[name].give_up());
+        given.and_then(|name| clients.remove(&name)).is_some()
     }
 
     /// Over how many milliseconds the clients should come back if this marshal goes: clients cannot know how many
@@ -237,6 +273,20 @@
         let mut clients = self.clients.lock().unwrap();
         clients.remove(&name);
         self.present.store(clients.len(), Ordering::Relaxed);
+        self.open.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    /// Tells what list or desk said, unless they have moved from the place that said it: then none.
+    fn unless_moved<T>(&self, moves: u64, tell: impl FnOnce() -> T) -> Option<T> {
+        let _telling = self.telling.lock().unwrap();
+        (self.moves.load(Ordering::Acquire) == moves).then(tell)
+    }
+
+    /// List and desk have moved: from here on nothing of their earlier places is taken.
+    fn leave_places(&self, then: impl FnOnce()) {
+        let _telling = self.telling.lock().unwrap();
+        self.moves.fetch_add(1, Ordering::AcqRel);
+        then();
     }
 
     fn complain_of_list(&self) {
@@ -284,7 +334,20 @@
     }
 }
 
-fn prepare(terms: Terms, dialect: Dialect) -> io::Result<(Arc<Edge>, TcpListener)> {
+/// Listens. A marshal of the same name that is just stopping has the address for a moment still.
+fn listen(addr: SocketAddr) -> io::Result<Listener> {
+    let by = Instant::now() + HANDOVER;
+    loop {
+        match Listener::bind(addr) {
+            Err(e) if e.kind() == ErrorKind::AddrInUse && Instant::now() < by => {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            bound => return bound,
+        }
+    }
+}
+
+fn prepare(terms: Terms, dialect: Dialect) -> io::Result<(Arc<Edge>, Listener)> {
     coroutine::prepare(terms.bounds.workers);
     let listener = listen(terms.places.listen)?;
     let peers = match terms.places.peers.get(terms.rollout.marshal) {
@@ -302,13 +365,14 @@
         inhand: Mutex::default(),
         clients: Mutex::default(),
         present: AtomicUsize::new(0),
-        pool: Pool::new(
-            terms.bounds.idle_to_node,
-            terms.bounds.idle_to_nodes,
-            terms.rollout.limits.idle_kept,
-        ),
+        open: AtomicUsize::new(0),
+        names: AtomicU64::new(0),
+        accepting: AtomicBool::new(true),
+        pool: Pool::new(&terms.bounds, terms.rollout.limits.idle_kept),
         live: Mutex::new(Live::of(&terms)),
         moves: AtomicU64::new(0),
+        telling: Mutex::default(),
+        votes: Mutex::default(),
         number: terms.rollout.marshal,
         via: format!("1.1 ivydrift-{}", terms.rollout.marshal),
         peers,
@@ -326,18 +390,25 @@
 }
 
 /// Lets it listen, follow list and desk, and keep time; the address that it listens on.
-fn begin(edge: &Arc<Edge>, listener: TcpListener) -> SocketAddr {
+fn begin(edge: &Arc<Edge>, listener: Listener) -> (SocketAddr, Waker) {
+    let waker = listener.waker();
     let listens = listener.local_addr().unwrap_or_else(|_| edge.live().places.listen);
     news::follow_desk(edge);
     keep_time(edge);
     hear_peers(edge);
     let accepting = edge.clone();
-    go(move || clients::accept(&accepting, &listener));
-    listens
+    go(move || {
+        clients::accept(&accepting, &listener);
+        drop(listener);
+        accepting.accepting.store(false, Ordering::Release);
+    });
+    (listens, waker)
 }
 
 /// Wakes the core when it is due, and looks after clients and idle connections.
 fn keep_time(edge: &Arc<Edge>) {
+    // From here on, or a standstill before the first round would not be seen.
+    edge.ticked.store(edge.now().as_millis() as u64, Ordering::Relaxed);
     let ticking = edge.clone();
     go(move || loop {
         let due = ticking.core.lock().unwrap().due();
@@ -346,7 +417,7 @@
         // Against the last round, not the last pause: a standstill may begin anywhere in a round.
         let (now, ticked) = (ticking.now(), Duration::from_millis(ticking.ticked.load(Ordering::Relaxed)));
         let round = now.saturating_sub(ticked);
-        if round > wait + STALL && !ticked.is_zero() {
+        if round > wait + STALL {
             ticking.stood.store(now.as_millis() as u64, Ordering::Relaxed);
             tracing::warn!(stood_ms = round.as_millis() as u64, "this process stood still");
             // Clients that left meanwhile first: nothing more is sent for them.
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -9,11 +9,11 @@
 use ivydrift_wire::{desk, list};
 
 use crate::asker::{jitter, Asker};
+use crate::dialect::Dialect;
 use crate::{platform, Edge};
 use ivydrift_sockets::coroutine::{go, pause};
 
-/// Queries are held by the far side at most this long.
-const LIST_WAIT: Duration = Duration::from_secs(10);
+/// Queries are held by the desk at most this long.
 const DESK_WAIT: Duration = Duration::from_secs(5);
 /// More than that, and the far side is taken as gone.
 const SLACK: Duration = Duration::from_secs(2);
@@ -32,15 +32,18 @@
         let places = edge.live().places;
         let (mut asker, mut index) = (Asker::new(places.node_list, edge.number), 0);
         loop {
-            let path = list::path(&places.service, index, LIST_WAIT.as_secs());
-            let answer = asker.ask("GET", &path, b"", list::LIST_BYTES, LIST_WAIT + SLACK);
-            if edge.moves.load(Ordering::Acquire) != moves {
+            let hold = edge.bounds().list_hold;
+            let path = list::path(&places.service, index, hold.as_secs());
+            let answer = asker.ask("GET", &path, b"", list::LIST_BYTES, hold + SLACK);
+            let read = answer.map_err(|e| e.to_string()).and_then(|(at, body)| Ok((at, list::read(&body)?)));
+            let told = edge.unless_moved(moves, || {
+                read.iter().for_each(|(_, nodes)| drop(edge.tell(Input::List(nodes), 0)));
+            });
+            if told.is_none() {
                 return; // The list has moved, and is followed there.
             }
-            let read = answer.map_err(|e| e.to_string()).and_then(|(at, body)| Ok((at, list::read(&body)?)));
             match read {
-                Ok((at, nodes)) => {
-                    edge.tell(Input::List(&nodes), 0);
+                Ok((at, _)) => {
                     edge.complain_of_list();
                     // A list that was started anew counts from the front again.
                     let at = at.unwrap_or(0);
@@ -65,26 +68,29 @@
 
 /// Follows the release desk until it moves.
 pub fn follow_desk(edge: &Arc<Edge>) {
+    // Looked up here, not in the coroutine: of two moves in a row, both would follow the second place.
+    let (moves, desk) = (edge.moves.load(Ordering::Acquire), edge.live().places.release_desk);
     if edge.dialect.platform().is_some() {
-        return platform::follow_desk(edge);
+        return platform::follow_desk(edge, moves, desk);
     }
     let edge = edge.clone();
     go(move || {
-        let moves = edge.moves.load(Ordering::Acquire);
-        let desk = edge.live().places.release_desk;
         let (mut asker, mut index, mut failures) = (Asker::new(desk, edge.number), 0, 0);
         while !edge.stopping() {
             let path =
                 format!("/v1/stage?index={index}&wait={}s&marshal={}", DESK_WAIT.as_secs(), edge.number);
             let answer = asker.ask("GET", &path, b"", desk::NEWS_BYTES, DESK_WAIT + SLACK);
-            if edge.moves.load(Ordering::Acquire) != moves {
+            let read = answer.map_err(|e| e.to_string()).and_then(|(_, body)| desk::read_news(&body));
+            let told = edge.unless_moved(moves, || {
+                read.iter().for_each(|news| drop(edge.tell(Input::News(news), 0)));
+            });
+            if told.is_none() {
                 return; // The desk has moved, and is followed there.
             }
-            match answer.map_err(|e| e.to_string()).and_then(|(_, body)| desk::read_news(&body)) {
+            match read {
                 Ok(news) => {
                     failures = 0;
                     index = if news.index < index { 0 } else { news.index };
-                    edge.tell(Input::News(&news), 0);
                 }
                 Err(why) => {
                     let wait = jitter(Duration::from_millis(200), failures);
@@ -97,27 +103,64 @@
     });
 }
 
+/// The votes of this marshal: one is out at a time. Each has a connection of its own, and of two the later could be
+/// counted first.
+#[derive(Default)]
+pub struct Votes {
+    out: bool,
+    /// The latest that waits for the one that is out.
+    next: Option<desk::Vote>,
+}
+
+/// Casts a vote, after the one that is out where there is one. What waits meanwhile is replaced: only the last counts.
 pub fn vote(edge: &Arc<Edge>, vote: desk::Vote) {
-    if edge.dialect.platform().is_some() {
-        return platform::vote(edge, vote);
+    let mut votes = edge.votes.lock().unwrap();
+    if std::mem::replace(&mut votes.out, true) {
+        votes.next = Some(vote);
+        return;
     }
+    drop(votes);
     let edge = edge.clone();
     go(move || {
-        let body = ivydrift_wire::desk::write(&vote);
-        let live = edge.live();
-        let mut asker = Asker::new(live.places.release_desk, edge.number);
-        let answer = asker.ask("POST", "/v1/votes", &body, desk::NEWS_BYTES, live.vote_wait);
-        let ballot = match answer {
-            Ok((_, body)) => match desk::read_vote_answer(&body) {
-                Ok(answer) => Ballot::Answered(answer),
-                Err(_) => Ballot::Failed,
-            },
-            // Without a connection it cannot have come in; else it may have.
-            Err(e) if e.kind() == ErrorKind::ConnectionRefused => Ballot::Failed,
-            Err(e) if e.kind() == ErrorKind::InvalidData => Ballot::Failed,
-            Err(_) => Ballot::Silent,
-        };
-        tracing::info!(?vote, ?ballot, "voted");
-        edge.tell(Input::Voted(ballot), 0);
+        let mut vote = vote;
+        loop {
+            let ballot = match &edge.dialect {
+                Dialect::Platform(_) => platform::vote(&edge, &vote),
+                Dialect::Native => cast(&edge, &vote),
+            };
+            tracing::info!(?vote, ?ballot, "voted");
+            let next = {
+                let mut votes = edge.votes.lock().unwrap();
+                votes.out = votes.next.is_some();
+                votes.next.take()
+            };
+            let Some(later) = next else {
+                edge.tell(Input::Voted(ballot), 0);
+                return;
+            };
+            // The answer is not to the vote that the core takes for the last; what it says of the build holds.
+            if let Ballot::Answered(answer) = ballot {
+                let news = desk::News { index: 0, stage: Some(answer.stage), sums: vec![], disputed: vec![] };
+                edge.tell(Input::News(&news), 0);
+            }
+            vote = later;
+        }
     });
 }
+
+fn cast(edge: &Edge, vote: &desk::Vote) -> Ballot {
+    let body = ivydrift_wire::desk::write(vote);
+    let live = edge.live();
+    let mut asker = Asker::new(live.places.release_desk, edge.number);
+    let answer = asker.ask("POST", "/v1/votes", &body, desk::NEWS_BYTES, live.vote_wait);
+    match answer {
+        Ok((_, body)) => match desk::read_vote_answer(&body) {
+            Ok(answer) => Ballot::Answered(answer),
+            Err(_) => Ballot::Failed,
+        },
+        // Without a connection it cannot have come in; else it may have.
+        Err(e) if e.kind() == ErrorKind::ConnectionRefused => Ballot::Failed,
+        Err(e) if e.kind() == ErrorKind::InvalidData => Ballot::Failed,
+        Err(_) => Ballot::Silent,
+    }
+}
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -17,9 +17,10 @@
 use crate::dialect::Platform;
 use crate::Edge;
 
-/// Members hold a question for this long, and may take this much longer to answer.
-const HOLD: Duration = Duration::from_millis(5000);
+/// Members may take this much longer to answer than they hold a question.
 const SLACK: Duration = Duration::from_millis(800);
+/// After a question that failed, and with it perhaps a watch that fell silent: a second silence shows soon.
+const SHORT_HOLD: Duration = Duration::from_millis(400);
 /// Members that answer at once whatever is asked are asked no sooner again; within 200 ms a watch goes on.
 const BREATH: Duration = Duration::from_millis(100);
 /// A desk that gives no sign of life for this long is asked anew; it gives one each second.
@@ -35,34 +36,45 @@
         let mut asker = Asker::new(places.node_list, edge.number);
         let mut again = true;
         loop {
-            let path = platform.catalog.lock().unwrap().path(HOLD.as_millis() as u64);
+            let sure = again && !platform.list_lost.load(Ordering::Acquire);
+            let longest = edge.bounds().list_hold;
+            let hold = if sure { longest } else { longest.min(SHORT_HOLD) };
+            let path = platform.catalog.lock().unwrap().path(hold.as_millis() as u64);
+            let watched = path.contains('?');
             let asked = Instant::now();
-            let answer = asker.ask("GET", &path, b"", LIST_BYTES, HOLD + SLACK);
-            let mut catalog = platform.catalog.lock().unwrap();
-            if edge.moves.load(Ordering::Acquire) != moves {
-                return; // The list has moved, and is followed there.
-            }
-            let taken = answer.map_err(|e| (e.kind(), e.to_string())).and_then(|(_, body)| {
-                let text = String::from_utf8_lossy(&body);
-                catalog.take(&text).map_err(|why| (ErrorKind::InvalidData, why))?;
-                Ok(catalog.listed())
+            let answer = asker.ask("GET", &path, b"", LIST_BYTES, hold + SLACK);
+            let answer = answer.map_err(|e| (e.kind(), e.to_string()));
+            // Taken and told as one: between them the list could move, and what is told there be overtaken.
+            let taken = edge.unless_moved(moves, || {
+                let (_, body) = answer?;
+                let mut catalog = platform.catalog.lock().unwrap();
+                catalog.take(&String::from_utf8_lossy(&body)).map_err(|why| (ErrorKind::InvalidData, why))?;
+                let nodes = catalog.listed();
+                drop(catalog);
+                edge.tell(Input::List(&nodes), 0);
+                Ok(())
             });
-            drop(catalog);
             match taken {
-                Ok(nodes) => {
+                None => return, // The list has moved, and is followed there.
+                Some(Ok(())) => {
                     again = true;
-                    edge.tell(Input::List(&nodes), 0);
+                    platform.list_lost.store(false, Ordering::Release);
                     edge.complain_of_list();
                     pause(BREATH.saturating_sub(asked.elapsed()));
                 }
                 // A connection may have died unseen, and only it.
-                Err((kind, _)) if again && kind != ErrorKind::InvalidData => again = false,
-                Err((_, why)) => {
+                Some(Err((kind, _))) if again && kind != ErrorKind::InvalidData => again = false,
+                // Changes that do not follow on what we hold: the whole list is asked for at once.
+                Some(Err(_)) if again && watched && platform.catalog.lock().unwrap().revision().is_none() => {
+                    again = false;
+                }
+                Some(Err((_, why))) => {
                     tracing::warn!(why, "list of members lost");
                     break;
                 }
             }
         }
+        platform.list_lost.store(true, Ordering::Release);
         let _ = edge.watching.compare_exchange(moves, u64::MAX, Ordering::AcqRel, Ordering::Acquire);
         edge.tell(Input::ListLost, 0);
     });
@@ -122,12 +134,10 @@
 }
 
 /// Follows the release desk until it moves.
-pub fn follow_desk(edge: &Arc<Edge>) {
+pub fn follow_desk(edge: &Arc<Edge>, moves: u64, to: SocketAddr) {
     let edge = edge.clone();
     go(move || {
         let Some(platform) = edge.dialect.platform() else { return };
-        let moves = edge.moves.load(Ordering::Acquire);
-        let to = edge.live().places.release_desk;
         let moved = || edge.moves.load(Ordering::Acquire) != moves;
         let mut failures = 0;
         while !moved() {
@@ -135,12 +145,12 @@
             let lost = opened.and_then(|mut lines| -> io::Result<()> {
                 loop {
                     let line = lines.next(Instant::now() + SILENCE)?;
-                    if moved() {
-                        return Ok(());
-                    }
                     failures = 0;
-                    if let Some(news) = news(platform, line) {
-                        edge.tell(Input::News(&news), 0);
+                    let told = edge.unless_moved(moves, || {
+                        news(platform, line).iter().for_each(|news| drop(edge.tell(Input::News(news), 0)));
+                    });
+                    if told.is_none() {
+                        return Ok(());
                     }
                 }
             });
@@ -154,21 +164,15 @@
     });
 }
 
-pub fn vote(edge: &Arc<Edge>, vote: Vote) {
-    let edge = edge.clone();
-    go(move || {
-        let live = edge.live();
-        let by = Instant::now() + live.vote_wait;
-        let answer =
-            Lines::open(live.places.release_desk, &desk::vote(&vote), by).and_then(|mut l| l.next(by));
-        let ballot = match answer {
-            Ok(Line::Done(Some(stage))) => Ballot::Answered(VoteAnswer { counted: Counted::Counts, stage }),
-            Ok(Line::Refused(counted)) => Ballot::Refused(counted),
-            Err(e) if e.kind() == ErrorKind::ConnectionRefused => Ballot::Failed,
-            // What cannot be read, or comes too late, proves nothing.
-            Ok(_) | Err(_) => Ballot::Silent,
-        };
-        tracing::info!(?vote, ?ballot, "voted");
-        edge.tell(Input::Voted(ballot), 0);
-    });
+pub fn vote(edge: &Edge, vote: &Vote) -> Ballot {
+    let live = edge.live();
+    let by = Instant::now() + live.vote_wait;
+    let answer = Lines::open(live.places.release_desk, &desk::vote(vote), by).and_then(|mut l| l.next(by));
+    match answer {
+        Ok(Line::Done(Some(stage))) => Ballot::Answered(VoteAnswer { counted: Counted::Counts, stage }),
+        Ok(Line::Refused(counted)) => Ballot::Refused(counted),
+        Err(e) if e.kind() == ErrorKind::ConnectionRefused => Ballot::Failed,
+        // What cannot be read, or comes too late, proves nothing.
+        Ok(_) | Err(_) => Ballot::Silent,
+    }
 }
--- a/crates/edge/src/running.rs
+++ b/crates/edge/src/running.rs
@@ -14,11 +14,21 @@
 
 use crate::dialect::{self, Dialect};
 use crate::{begin, news, prepare, Edge, Live};
+use ivydrift_sockets::{Listener, Waker};
 
 /// A running marshal.
 pub struct Running {
     edge: Arc<Edge>,
     pub listens: SocketAddr,
+    /// Wakes the accept loop.
+    waker: Waker,
+}
+
+impl Running {
+    fn begin(edge: Arc<Edge>, listener: Listener) -> Self {
+        let (listens, waker) = begin(&edge, listener);
+        Running { edge, listens, waker }
+    }
 }
 
 /// Starts a marshal by its terms. The runtime's workers are set by the first that starts in a process.
@@ -27,7 +37,7 @@
 /// When its addresses cannot be had.
 pub fn start(terms: Terms) -> io::Result<Running> {
     let (edge, listener) = prepare(terms, Dialect::Native)?;
-    Ok(Running { listens: begin(&edge, listener), edge })
+    Ok(Running::begin(edge, listener))
 }
 
 /// Starts a marshal of the platform by what its file says.
@@ -45,7 +55,7 @@
     if !known.is_empty() {
         edge.tell(Input::Known(&known), 0);
     }
-    Ok(Running { listens: begin(&edge, listener), edge })
+    Ok(Running::begin(edge, listener))
 }
 
 impl Running {
@@ -73,18 +83,18 @@
     fn renew_with(&self, terms: Terms, known: Option<&Catalog>) -> Result<(), String> {
         let (edge, new, limits) = (&self.edge, Live::of(&terms), terms.rollout.limits);
         edge.core.lock().unwrap().renew(terms)?;
-        edge.pool.renew(new.bounds.idle_to_node, new.bounds.idle_to_nodes, limits.idle_kept);
+        edge.pool.renew(&new.bounds, limits.idle_kept);
         // An RPC taken under the earlier terms may need its longer deadline.
         let old = edge.live();
         let longest = old.longest.max(new.longest);
         *edge.live.lock().unwrap() = Live { longest, ..new.clone() };
         let list = |p: &Places| (p.node_list, p.service.clone());
         if list(&old.places) != list(&new.places) || old.places.release_desk != new.places.release_desk {
-            // From here on nothing of the earlier places is taken.
-            edge.moves.fetch_add(1, Ordering::AcqRel);
-            if let (Some(platform), Some(known)) = (edge.dialect.platform(), known) {
-                platform.catalog.lock().unwrap().moved(known);
-            }
+            edge.leave_places(|| {
+                if let (Some(platform), Some(known)) = (edge.dialect.platform(), known) {
+                    platform.catalog.lock().unwrap().moved(known);
+                }
+            });
             news::follow_desk(edge);
             news::watch(edge);
         }
@@ -104,12 +114,13 @@
         // Whoever still comes is served, and told to come no more.
         std::thread::sleep(self.edge.bounds().linger);
         self.edge.close.store(true, Ordering::Release);
-        // An accept in progress wakes by a connection.
-        let _ = std::net::TcpStream::connect_timeout(&self.listens, Duration::from_millis(200));
+        self.waker.wake();
         let by = Instant::now() + self.edge.live().longest + Duration::from_millis(200);
         while Instant::now() < by {
-            let (held, open) = (self.edge.counts().held, self.edge.clients.lock().unwrap().len());
-            if held == 0 && open == 0 {
+            // In this order: what is accepted is open before the listener ends, and open until nothing is held for it.
+            let accepting = self.edge.accepting.load(Ordering::Acquire);
+            let open = self.edge.open.load(Ordering::Acquire);
+            if !accepting && open == 0 && self.edge.counts().held == 0 {
                 return true;
             }
             std::thread::sleep(Duration::from_millis(10));
--- /dev/null
+++ b/crates/edge/tests/hard/crossings.rs
@@ -0,0 +1,282 @@
+//! Two events that cross, forced into the bad order by neighbours that hold or release a byte, or by a process that
+//! stands still. docs/crossings.md has the table; what only threads inside can force is in src/crossings.rs.
+
+use std::io::Read;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::Ordering;
+use std::sync::{mpsc, Arc, Mutex};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use nix::sys::signal::Signal;
+
+use crate::platform_scene::*;
+use crate::process::Process;
+use crate::scene::*;
+
+fn start(platform: &Platform, change: impl FnOnce(&mut ivydrift_terms::Terms)) -> ivydrift_edge::Running {
+    let text = file("127.0.0.1:0".parse().unwrap(), platform);
+    let mut start = ivydrift_platform::start::read("start.json", &text).unwrap();
+    change(&mut start.terms);
+    ivydrift_edge::start_on_platform(start).unwrap()
+}
+
+/// Members that answer the nth question, as it stands in the first line, by a script.
+fn members(script: impl Fn(usize, &str, &mut TcpStream) -> bool + Send + Sync + 'static) -> (Node, Log) {
+    let asked: Log = Arc::default();
+    let log = asked.clone();
+    let node = node_of(move |message, stream| {
+        let question = message.lines().next().unwrap_or_default().to_owned();
+        let nth = {
+            let mut log = log.lock().unwrap();
+            log.push(question.clone());
+            log.len() - 1
+        };
+        script(nth, &question, stream)
+    });
+    (node, asked)
+}
+
+type Log = Arc<Mutex<Vec<String>>>;
+
+fn member(addr: SocketAddr, phase: &str, up_since_ms: u64, build: u32) -> String {
+    format!(
+        r#"{{"id":"s-0","host_port":"{addr}","locality":"site-a","flavor":"full-1c","cell":1,
+        "phase":"{phase}","size":1.0,"up_since_ms":{up_since_ms},"image_id":{build}}}"#
+    )
+}
+
+fn page(revision: u64, complete: bool, members: &str) -> String {
+    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
+}
+
+/// An RPC was read by nobody: its client closed while the process stood still. It may come again with its id.
+#[test]
+fn after_a_stall_the_id_of_an_rpc_whose_client_left_is_still_free() {
+    let fine = good("fine");
+    let process = Process::on_platform("free", &platform(&[(fine.addr, 1)], &[]));
+    assert_eq!(process.ask(&book("a")), Some(200));
+    process.stand_still();
+    let mut left = connect(process.listens);
+    say(&mut left, &book("again"));
+    left.shutdown(Shutdown::Write).unwrap();
+    // Longer than what counts as a stall.
+    std::thread::sleep(ms(400));
+    process.signal(Signal::SIGCONT);
+    assert!(closes(&mut left, ms(4000)));
+    assert_eq!(process.ask(&book("again")), Some(200), "it is told that it is a copy of itself");
+}
+
+/// The client's second half comes when the listener has closed.
+#[test]
+fn an_rpc_half_sent_when_closing_begins_is_answered() {
+    let fine = good("fine");
+    let mut process = Process::on_platform("half", &platform(&[(fine.addr, 1)], &[]));
+    let text = book("half");
+    let (first, second) = text.split_at(text.len() - 2);
+    let mut stream = connect(process.listens);
+    say(&mut stream, first);
+    let mut idle = connect(process.listens);
+    say(&mut idle, &book("idle"));
+    assert_eq!(answer(&mut idle).unwrap().status, 200);
+    process.signal(Signal::SIGTERM);
+    wait_for("the listener's end", ms(4000), || TcpStream::connect(process.listens).is_err());
+    assert!(closes(&mut idle, ms(4000)), "idle connections are closed by now");
+    std::thread::sleep(ms(120)); // Two more rounds of that, at least.
+    say(&mut stream, second);
+    let answer = answer(&mut stream).expect("an answer");
+    assert_eq!((answer.status, answer.field("connection")), (200, Some("close")));
+    assert!(process.child.wait().unwrap().success());
+}
+
+/// The node's connection comes up only after the client has left, where running work may not be cancelled.
+#[test]
+fn an_rpc_that_waits_for_a_connection_is_not_sent_for_who_has_left() {
+    let slow = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    slow.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    slow.listen(0).unwrap();
+    let slow: TcpListener = slow.into();
+    let addr = slow.local_addr().unwrap();
+    // Its queue is full: the kernel lets nobody in until there is room.
+    let mut queue = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&addr, ms(100)) {
+        queue.push(stream);
+    }
+    let running = start(&platform(&[(addr, 1)], &[]), |terms| {
+        terms.bounds.connect = ms(4000);
+        terms.rollout.limits.cancel = false;
+    });
+    wait_for("the list", ms(3000), || running.nodes() == 1);
+    let mut client = connect(running.listens);
+    say(&mut client, &book("left"));
+    wait_for("the pick", ms(2000), || running.counts().picks == 1);
+    drop(client);
+    wait_for("the client's leaving", ms(2000), || running.counts().left == 1);
+    for _ in &queue {
+        drop(slow.accept().unwrap());
+    }
+    let (mut late, _) = slow.accept().unwrap();
+    late.set_read_timeout(Some(ms(3000))).unwrap();
+    let mut text = Vec::new();
+    let _ = late.read_to_end(&mut text);
+    assert!(text.is_empty(), "sent for nobody: {:?}", String::from_utf8_lossy(&text));
+    wait_for("the pick's end", ms(1000), || running.counts().held == 0);
+}
+
+/// The list tells that another process has the address while an answer of the earlier one is on its way.
+#[test]
+fn a_connection_to_a_process_that_was_followed_by_another_does_not_come_back_to_rest() {
+    let (release, held) = mpsc::channel::<()>();
+    let held = Mutex::new(held);
+    let node = node(Box::new(move |nth, s| {
+        if nth == 0 {
+            let _ = held.lock().unwrap().recv();
+        }
+        ok(s, "fine")
+    }));
+    let (change, changed) = mpsc::channel::<()>();
+    let changed = Mutex::new(changed);
+    let addr = node.addr;
+    let an_hour_ago = SystemTime::now().duration_since(UNIX_EPOCH).unwrap() - ms(3_600_000);
+    let (list, asked) = members(move |nth, _, s| match nth {
+        0 => ok(s, &page(1, true, &member(addr, "active", 0, 1))),
+        1 => {
+            let _ = changed.lock().unwrap().recv();
+            ok(s, &page(2, false, &member(addr, "active", an_hour_ago.as_millis() as u64, 1)))
+        }
+        _ => {
+            std::thread::sleep(ms(3000));
+            ok(s, &page(2, false, ""))
+        }
+    });
+    let running = start(&Platform { members: list, ..platform(&[], &[]) }, |_| {});
+    wait_for("the list", ms(3000), || running.nodes() == 1);
+    let mut client = connect(running.listens);
+    say(&mut client, &read("first"));
+    wait_for("the RPC at its node", ms(2000), || node.messages() == 1);
+    change.send(()).unwrap();
+    wait_for("the next question", ms(3000), || asked.lock().unwrap().len() >= 3);
+    release.send(()).unwrap();
+    assert_eq!(answer(&mut client).unwrap().body, "fine");
+    std::thread::sleep(ms(30)); // Time to settle: without the mend it rests and is taken.
+    say(&mut client, &read("second"));
+    assert_eq!(answer(&mut client).unwrap().body, "fine");
+    assert_eq!(*node.connections.lock().unwrap(), 2, "the earlier process's connection was used again");
+}
+
+/// A watch falls silent in the middle of its answer, and the next question shows soon whether that lives.
+#[test]
+fn after_a_watch_that_fell_silent_the_next_question_is_held_but_shortly() {
+    let fine = good("fine");
+    let addr = fine.addr;
+    let (list, asked) = members(move |nth, _, s| match nth {
+        0 => ok(s, &page(1, true, &member(addr, "active", 0, 1))),
+        1 => {
+            // Half of a change, and no more; the connection stays.
+            say(s, "HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{\"revision\":2,\"comp")
+                && !closes(s, ms(9000))
+        }
+        _ => ok(s, &page(3, false, &member(addr, "left", 0, 1))),
+    });
+    let running = start(&Platform { members: list, ..platform(&[], &[]) }, |terms| {
+        terms.bounds.list_hold = ms(1000);
+    });
+    wait_for("the list", ms(3000), || running.nodes() == 1);
+    wait_for("the change that the silent watch kept", ms(4000), || running.nodes() == 0);
+    let asked = asked.lock().unwrap();
+    assert!(asked[1].contains("from=1&hold_ms=1000"), "{asked:?}");
+    assert!(asked[2].contains("from=1&hold_ms=400"), "a second silence would last as long: {asked:?}");
+}
+
+/// A list that was started anew counts from the front: its changes do not follow on what is known.
+#[test]
+fn when_revisions_go_back_the_whole_list_is_asked_for_at_once() {
+    let (old, new) = (good("old"), good("new"));
+    let (was, is) = (old.addr, new.addr);
+    let (list, asked) = members(move |nth, question, s| match nth {
+        0 => ok(s, &page(41, true, &member(was, "active", 0, 1))),
+        1 => ok(s, &page(3, false, "")),
+        _ if !question.contains('?') => ok(s, &page(3, true, &member(is, "active", 0, 1))),
+        _ => {
+            std::thread::sleep(ms(3000));
+            ok(s, &page(3, false, ""))
+        }
+    });
+    let running = start(&Platform { members: list, ..platform(&[], &[]) }, |_| {});
+    wait_for("the whole list", ms(3000), || asked.lock().unwrap().len() >= 4);
+    let mut client = connect(running.listens);
+    say(&mut client, &read("a"));
+    assert_eq!(answer(&mut client).unwrap().body, "new", "{:?}", asked.lock().unwrap());
+}
+
+/// Of two lines about a build the earlier one is read last, in two parts.
+#[test]
+fn an_overtaken_standing_does_not_raise_a_cap_that_was_lowered() {
+    let (old, new) = (good("old"), good("new"));
+    let p = platform(
+        &[(old.addr, 1), (new.addr, 2)],
+        &[
+            "* ROLLOUT 2 2 recalling 0.0 100\r\n",
+            "* ROLLOUT 2 2 test",
+            "ing 1.0 5000\r\n* SAMPLE 2 x 1 1 1 1\r\n",
+        ],
+    );
+    let running = start(&p, |_| {});
+    wait_for("the list", ms(3000), || running.nodes() == 2);
+    wait_for("the desk", ms(3000), || p.follows.load(Ordering::SeqCst) >= 1);
+    std::thread::sleep(ms(200)); // Without the mend the second line holds by then, and the build is met.
+    let mut client = connect(running.listens);
+    for i in 0..30 {
+        say(&mut client, &read(&format!("r{i}")));
+        assert_eq!(answer(&mut client).unwrap().body, "old", "RPC {i} met a build that is being called back");
+    }
+    assert_eq!(new.messages(), 0);
+}
+
+/// Discovery is down from the start, and nothing is known from before.
+#[test]
+fn a_marshal_whose_list_does_not_come_is_ready_in_the_end() {
+    let (list, _asked) = members(|_, _, s| !closes(s, ms(9000)));
+    let running = start(&Platform { members: list, ..platform(&[], &[]) }, |terms| {
+        terms.bounds.ready_latest = Some(ms(700));
+    });
+    let health = || {
+        let mut stream = connect(running.listens);
+        say(&mut stream, "GET /_health HTTP/1.1\r\nHost: b\r\n\r\n");
+        answer(&mut stream).unwrap().status
+    };
+    let first = health();
+    wait_for("readiness", ms(4000), || health() == 200);
+    let mut stream = connect(running.listens);
+    say(&mut stream, &book("none").replace("2000", "100"));
+    assert_eq!((first, answer(&mut stream).unwrap().status), (503, 503));
+}
+
+/// A file that is half written when the signal comes.
+#[test]
+fn a_file_cut_anywhere_or_spoilt_leaves_the_running_terms_in_force() {
+    let fine = good("fine");
+    let p = platform(&[(fine.addr, 1)], &[]);
+    let process = Process::on_platform("cut", &p);
+    let whole = file(process.listens, &p);
+    let spoilt = [
+        whole[..whole.len() / 3].to_owned(),
+        whole[..whole.len() - 2].to_owned(),
+        whole.replace("\"request_classes\"", "\"no_classes\""),
+        whole.replace("\"give_up\": 3000000", "\"give_up\": 0"),
+    ];
+    for text in spoilt {
+        assert_ne!(text, whole);
+        std::fs::write(&process.file, &text).unwrap();
+        process.signal(Signal::SIGHUP);
+        assert_eq!(process.ask(&book(&format!("a{}", fine.messages()))), Some(200));
+    }
+    // The signals were taken by now, or this one would not be answered by what the last file says.
+    let moved = good("moved");
+    let after = platform(&[(moved.addr, 1)], &[]);
+    std::fs::write(&process.file, file(process.listens, &after)).unwrap();
+    process.signal(Signal::SIGHUP);
+    wait_for("the move", ms(4000), || {
+        process.ask(&book(&format!("b{}-{}", fine.messages(), moved.messages()))).is_some()
+            && moved.messages() > 0
+    });
+}
--- a/crates/edge/tests/hard/main.rs
+++ b/crates/edge/tests/hard/main.rs
@@ -2,6 +2,7 @@
 
 mod bodies;
 mod clients;
+mod crossings;
 mod machine;
 mod nodes;
 mod platform;
--- a/crates/marshal/src/desk.rs
+++ b/crates/marshal/src/desk.rs
@@ -1,4 +1,5 @@
-//! What the desk says, as events for the module.
+//! What the desk says, as events for the module. It says it on several connections, that of the news and one for each
+//! vote, so what was said earlier may be read later: of one build's standings the later one holds.
 
 use std::time::Duration;
 
@@ -7,9 +8,50 @@
 
 use crate::{Ballot, Core};
 
+/// What is behind on a build's course and began no more than this later may have been on its way for so long: an
+/// answer is waited for less than that. A desk that was really set back tells a standing that began later.
+const WAY: Duration = Duration::from_secs(2);
+
+/// The latest standing that the desk has told.
+#[derive(Default)]
+pub(crate) struct Standing(Option<Told>);
+
+#[derive(Clone, Copy)]
+struct Told {
+    stage: desk::Stage,
+    since: Duration,
+}
+
+impl Told {
+    /// How far a build has come: its stages, its release, the way back.
+    fn course(&self) -> (u32, u32, u32) {
+        let at = match self.stage.course {
+            desk::Course::OnTrial => 0,
+            desk::Course::Released => 1,
+            desk::Course::GoingBack => 2,
+            desk::Course::Withdrawn => 3,
+        };
+        (self.stage.build, at, if at == 0 { self.stage.stage } else { 0 })
+    }
+}
+
+impl Standing {
+    /// Takes what was read now, and returns what holds and its age. What lies behind on the build's course was overtaken
+    /// on its way: with it a cap that has been lowered would be raised again. Ages alone would not do, as each is
+    /// shorter by its own way here.
+    fn hear(&mut self, now: Duration, stage: &desk::Stage) -> (desk::Stage, Duration) {
+        let new = Told { stage: *stage, since: now.saturating_sub(Duration::from_millis(stage.age_ms)) };
+        let overtaken = |old: &Told| new.course() < old.course() && new.since <= old.since + WAY;
+        let holds = self.0.filter(overtaken).unwrap_or(new);
+        self.0 = Some(holds);
+        (holds.stage, now.saturating_sub(holds.since))
+    }
+}
+
 impl Core {
-    pub(crate) fn news(&mut self, news: &desk::News, events: &mut Vec<Event>) {
-        events.extend(news.stage.map(|stage| stage_event(&stage, VoteReply::Unasked)));
+    pub(crate) fn news(&mut self, now: Duration, news: &desk::News, events: &mut Vec<Event>) {
+        let held = news.stage.map(|stage| self.standing.hear(now, &stage));
+        events.extend(held.map(|(stage, age)| stage_event(&stage, age, VoteReply::Unasked)));
         let methods = &self.terms.methods;
         for sums in &news.sums {
             let Some(method) = methods.iter().position(|m| *m == sums.method) else { continue };
@@ -27,7 +69,7 @@
         }
     }
 
-    pub(crate) fn voted(&self, ballot: Ballot) -> Option<Event> {
+    pub(crate) fn voted(&mut self, now: Duration, ballot: Ballot) -> Option<Event> {
         let stand = |reply| {
             let (build, stage, course) = (0, 0, Course::Withdrawn);
             Event::Stage { build, stage, course, reply, cap: 0.0, age: Duration::ZERO }
@@ -39,7 +81,10 @@
             // A vote that counts comes with the standing; without it, nothing is known of either.
             Ballot::Refused(desk::Counted::Counts) => stand(VoteReply::Silent),
             Ballot::Refused(counted) => stand(reply_of(counted)),
-            Ballot::Answered(answer) => stage_event(&answer.stage, reply_of(answer.counted)),
+            Ballot::Answered(answer) => {
+                let (stage, age) = self.standing.hear(now, &answer.stage);
+                stage_event(&stage, age, reply_of(answer.counted))
+            }
         })
     }
 }
@@ -53,13 +98,12 @@
     }
 }
 
-fn stage_event(stage: &desk::Stage, reply: VoteReply) -> Event {
+fn stage_event(stage: &desk::Stage, age: Duration, reply: VoteReply) -> Event {
     let course = match stage.course {
         desk::Course::OnTrial => Course::OnTrial,
         desk::Course::GoingBack => Course::GoingBack,
         desk::Course::Released => Course::Released,
         desk::Course::Withdrawn => Course::Withdrawn,
     };
-    let age = Duration::from_millis(stage.age_ms);
     Event::Stage { build: stage.build, stage: stage.stage as usize, course, reply, cap: stage.cap, age }
 }
--- a/crates/marshal/src/directory.rs
+++ b/crates/marshal/src/directory.rs
@@ -30,6 +30,8 @@
     /// Indices whose nodes have gone, and when.
     gone: VecDeque<(Duration, NodeIx)>,
     pub rejected: Vec<Rejected>,
+    /// Addresses whose process has gone, or been followed by another, by the latest list.
+    pub left_behind: Vec<SocketAddr>,
 }
 
 impl Directory {
@@ -42,6 +44,7 @@
             entries: BTreeMap::new(),
             gone: VecDeque::new(),
             rejected: Vec::new(),
+            left_behind: Vec::new(),
         }
     }
 
@@ -131,6 +134,12 @@
         self.gone.retain(|(_, node)| !fresh.contains_key(node));
         let differs = |e: &&NodeEntry| self.entries.get(&e.node) != Some(*e);
         let nodes: Vec<NodeEntry> = left.iter().chain(fresh.values().filter(differs)).copied().collect();
+        let other = |e: &&NodeEntry| {
+            let was = self.entries.get(&e.node).filter(|was| was.readiness != Readiness::Gone);
+            let process = |e: &NodeEntry| (e.started, e.build);
+            e.readiness == Readiness::Gone || was.is_some_and(|was| process(was) != process(e))
+        };
+        self.left_behind = nodes.iter().filter(other).map(|e| self.addrs[e.node]).collect();
         self.entries.extend(nodes.iter().map(|e| (e.node, *e)));
         Event::Nodes { scope: Scope::Delta, nodes }
     }
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -41,6 +41,7 @@
     /// A list that waits for the first news of the desk, and when the first such came.
     early: Option<(Duration, Event)>,
     desk_heard: bool,
+    standing: desk::Standing,
     /// Methods that are taken now: earlier terms may have had more, of which RPCs are still in hand.
     offered: Vec<String>,
     /// The other marshals; none before the first call, and where the terms allow no peers.
@@ -70,6 +71,7 @@
             zero_ms,
             early: None,
             desk_heard: false,
+            standing: desk::Standing::default(),
             offered: terms.methods.clone(),
             peers: None,
             begun: false,
@@ -145,6 +147,9 @@
             }
             Input::List(nodes) => {
                 let event = self.directory.take(now, self.zero_ms, nodes);
+                // An address may have another process by now, and what the earlier one has left open may be silent.
+                let left = self.directory.left_behind.drain(..);
+                orders.extend(left.map(|node| Order::CloseIdle { node }));
                 if self.desk_heard {
                     events.push(event);
                 } else {
@@ -164,13 +169,13 @@
             }
             Input::ListLost => events.push(Event::Nodes { scope: Scope::Failed, nodes: vec![] }),
             Input::News(news) => {
-                self.news(news, events);
+                self.news(now, news, events);
                 if news.stage.is_some() {
                     self.desk_heard = true;
                     events.extend(self.early.take().map(|e| e.1));
                 }
             }
-            Input::Voted(ballot) => events.extend(self.voted(ballot)),
+            Input::Voted(ballot) => events.extend(self.voted(now, ballot)),
             Input::Peer(datagram) => {
                 let terms = &self.terms.rollout;
                 let other = |from| from < terms.marshals && from != terms.marshal;
@@ -357,7 +362,7 @@
             (true, Some(addr)) => {
                 self.counts.picks += 1;
                 let careful = self.rpcs.careful(id);
-                orders.push(Order::Pick { id, pick, node: addr, within, careful });
+                orders.push(Order::Pick { id, pick, node: addr, by: now + within, careful });
             }
             _ => {
                 // Ended in this very batch: the pick is not issued, and the module is told so.
--- a/crates/marshal/src/said.rs
+++ b/crates/marshal/src/said.rs
@@ -34,6 +34,8 @@
     },
     /// No connection stood in time, or it failed before one byte of the RPC was handed to it.
     NotSent,
+    /// Nobody tried: its time was over, or nobody wanted it any more, before it began. The node had no part in it.
+    NotBegun,
     /// The connection broke after a byte may have left, whatever came back.
     Broken,
     /// What came back is not HTTP.
@@ -53,6 +55,7 @@
             Saw::Answer { .. } => Outcome::Error,
             Saw::Garbled => Outcome::Garbled,
             Saw::NotSent => Outcome::NoConnection,
+            Saw::NotBegun => Outcome::Moot,
             Saw::Broken => Outcome::Reset,
             Saw::TimedOut => Outcome::Timeout,
             Saw::Severed => Outcome::Cancelled,
@@ -149,13 +152,13 @@
 /// What the shell must do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
-    /// Send the RPC to a node, and report [`Input::Ended`] once, within the time at the latest.
-    /// `careful`: it must not run twice, so a connection that may have died unseen is not for it.
+    /// Send the RPC to a node, and report [`Input::Ended`] once, by then at the latest, however late the order is
+    /// carried out. `careful`: it must not run twice, so a connection that may have died unseen is not for it.
     Pick {
         id: Id,
         pick: usize,
         node: SocketAddr,
-        within: Duration,
+        by: Duration,
         careful: bool,
     },
     /// The final answer is this pick's: hand it to the client.
@@ -206,6 +209,24 @@
     Log(String),
 }
 
+impl Order {
+    /// The RPC that it is about.
+    pub fn rpc(&self) -> Option<Id> {
+        match self {
+            Order::Pick { id, .. }
+            | Order::Pass { id, .. }
+            | Order::PushBack { id, .. }
+            | Order::Abort { id, .. }
+            | Order::Reject { id, .. }
+            | Order::BreakOff { id }
+            | Order::Sever { id, .. } => Some(*id),
+            Order::CloseIdle { .. } | Order::Tell { .. } | Order::Vote(_) | Order::Watch | Order::Log(_) => {
+                None
+            }
+        }
+    }
+}
+
 /// Counts since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
--- a/crates/platform/src/members.rs
+++ b/crates/platform/src/members.rs
@@ -83,9 +83,15 @@
     /// Takes an answer whole, or not at all.
     ///
     /// # Errors
-    /// A sentence on what is wrong; then nothing has changed.
+    /// A sentence on what is wrong; then no member has changed.
     pub fn take(&mut self, text: &str) -> Result<(), String> {
         let page: Page = serde_json::from_str(text).map_err(|e| format!("the list of members: {e}"))?;
+        if !page.complete && self.revision.is_none_or(|known| page.revision < known) {
+            // Changes since another beginning than ours, as of a list that was started anew: only a whole one helps.
+            let known = self.revision.take().map_or("none".to_owned(), |known| known.to_string());
+            let to = page.revision;
+            return Err(format!("the list of members: changes up to revision {to} while {known} is known"));
+        }
         let mut members = if page.complete { BTreeMap::new() } else { self.members.clone() };
         for m in page.members {
             if m.phase == "left" {
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -7,5 +7,5 @@
 mod pending;
 mod socket;
 
-pub use listen::listen;
+pub use listen::{listen, Listener, Waker};
 pub use socket::{Look, Socket};
--- a/crates/standin/src/sim.rs
+++ b/crates/standin/src/sim.rs
@@ -523,7 +523,7 @@
         let answer =
             |kind, build, picks, retry_after| End::Answered { kind, build, picks: picks as u32, retry_after };
         let (id, end) = match order {
-            Order::Pick { id, pick, node, within, .. } => {
+            Order::Pick { id, pick, node, by, .. } => {
                 let Some(ask) = self.hosts[marshal].asks.get(&id).cloned() else { return };
                 let number = self.ports.get(&node.port()).copied().unwrap_or(u32::MAX);
                 self.hosts[marshal].picks.insert((id, pick), number);
@@ -531,7 +531,7 @@
                 let rpc = Arrival { id, call, marshal, method, key };
                 let way = self.way_to_node(marshal, number);
                 self.at(self.now + way, Ev::AtNode { from: marshal, life, pick, node: number, rpc });
-                self.at(self.now + within, Ev::Late { from: marshal, life, id, pick });
+                self.at(by.saturating_sub(BEFORE), Ev::Late { from: marshal, life, id, pick });
                 return;
             }
             Order::Sever { id, pick } => {
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -50,6 +50,14 @@
     pub idle_client: Duration,
     /// A new client must have sent its first message whole within this, where that is asked of it.
     pub first_message: Option<Duration>,
+    /// A connection to a node rests this long before it is used again: a node that answers twice may do so late, and its
+    /// second answer would be read as that to the next RPC. Costs a connection more for each RPC within the time.
+    pub settle: Duration,
+    /// Questions to the node list may be held for this long.
+    pub list_hold: Duration,
+    /// Without any node it says after this time that it is ready, where it is asked: it then pushes back, and whoever
+    /// waits for it goes on.
+    pub ready_latest: Option<Duration>,
     /// Clients may still come for this long after the order to stop.
     pub linger: Duration,
     /// A connection to a node must stand within this.
@@ -79,6 +87,9 @@
             slow_client: Duration::from_millis(2000),
             idle_client: Duration::from_millis(5000),
             first_message: Some(Duration::from_millis(2300)),
+            settle: Duration::from_millis(20),
+            list_hold: Duration::from_millis(5000),
+            ready_latest: Some(Duration::from_secs(8)),
             linger: Duration::from_millis(600),
             connect,
             idle_to_node: 16,
@@ -201,6 +212,9 @@
         slow_client: s.span("slow_client", Some(Duration::from_secs(10))),
         idle_client: s.span("idle_client", Some(Duration::from_secs(300))),
         first_message: None,
+        settle: Duration::ZERO,
+        list_hold: Duration::from_secs(10),
+        ready_latest: None,
         linger: Duration::ZERO,
         connect: s.span("connect", Some(Duration::from_millis(250))),
         idle_to_node: s.whole("idle_to_node", Some(64), 1..=10_000) as usize,
