--- a/crates/edge/src/pool/mod.rs
+++ b/crates/edge/src/pool/mod.rs
@@ -12,12 +12,12 @@
 use ivydrift_sockets::Socket;
 use ivydrift_terms::Bounds;
 
-/// A connection for an RPC that must not run twice was used this lately, and within half of the time that nodes keep
-/// idle ones: a node, or what stands between, may have dropped an older one unseen.
+/// A connection for an RPC that must not run twice was used this lately: a node, or what stands between, may have
+/// dropped an older one unseen.
 const FRESH: Duration = Duration::from_secs(1);
 
 /// A node counts idle time from when it wrote its answer, we from when we had read it: ours ends this much sooner,
-/// by a quarter where little is kept.
+/// by a tenth where idle times are short. An answer's way is some milliseconds, and we may run some tens late.
 const SOONER: Duration = Duration::from_millis(500);
 
 /// So long it is remembered that a node's connections were closed: longer than any pick.
@@ -58,12 +58,11 @@
 
     fn kept(&self) -> Duration {
         let kept = Duration::from_millis(self.kept_ms.load(Ordering::Relaxed));
-        kept - SOONER.min(kept / 4)
+        kept - SOONER.min(kept / 10)
     }
 
     /// A connection that looks alive and has settled, the latest used first.
     pub fn take(&self, node: SocketAddr, careful: bool, now: Instant) -> Option<Socket> {
-        let fresh = FRESH.min(self.kept() / 2);
         let settle = Duration::from_micros(self.settle_us.load(Ordering::Relaxed));
         loop {
             let (rested, socket) = {
@@ -71,7 +70,7 @@
                 let stack = idle.get_mut(&node)?;
                 let at = stack.iter().rposition(|(at, _)| now.saturating_duration_since(*at) >= settle)?;
                 let rested = now.saturating_duration_since(stack[at].0);
-                if careful && rested >= fresh {
+                if careful && rested >= FRESH {
                     return None;
                 }
                 (rested, stack.remove(at).1)
--- a/crates/edge/src/pool/tests.rs
+++ b/crates/edge/src/pool/tests.rs
@@ -79,8 +79,8 @@
 }
 
 #[test]
-fn ours_end_before_the_node_s_and_an_rpc_that_must_not_run_twice_takes_only_the_fresher_half() {
-    for (kept, ends, fresh) in [(30_000, 29_500, 1000), (400, 300, 150)] {
+fn ours_end_before_the_node_s_and_an_rpc_that_must_not_run_twice_takes_only_a_fresh_one() {
+    for (kept, ends, fresh) in [(30_000, 29_500, 1000), (400, 360, 360)] {
         let usable = move |careful: bool, rested: u64| {
             on_a_coroutine(move || {
                 let pool = pool(4, 9, ms(kept));
