--- a/crates/marshal/tests/core.rs
+++ b/crates/marshal/tests/core.rs
@@ -1,6 +1,8 @@
 //! The core with the real module: hard cases one by one, then seeded random runs that check after every step
 //! that each RPC has at most one final answer, in time, and that nothing is sent for it afterwards.
 
+mod listed;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -8,6 +10,7 @@
 use ivydrift_wire::desk::{Course, News, Stage};
 use ivydrift_wire::list::{Listed, State};
 use ivydrift_wire::orca::Metrics;
+use listed::node;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -21,20 +24,6 @@
     Duration::from_millis(n)
 }
 
-fn node(port: u16, build: u32) -> Listed {
-    Listed {
-        host: "127.0.0.1".into(),
-        port,
-        state: State::Ready,
-        build,
-        zone: "site-a".into(),
-        cell: 0,
-        kind: "full-1c".into(),
-        power: 1.0,
-        started_ms: None,
-    }
-}
-
 struct Bed {
     core: Core,
     now: Duration,
--- a/crates/marshal/tests/desk.rs
+++ b/crates/marshal/tests/desk.rs
@@ -1,24 +1,13 @@
 //! What the desk says, read in another order than it was said.
 
+mod listed;
+
 use std::time::Duration;
 
 use ivydrift_marshal::{Ballot, Call, Core, Input, Order};
 use ivydrift_wire::desk::{Counted, Course, News, Stage, VoteAnswer};
 use ivydrift_wire::list::{Listed, State};
-
-fn node(port: u16, build: u32) -> Listed {
-    Listed {
-        host: "127.0.0.1".into(),
-        port,
-        state: State::Ready,
-        build,
-        zone: "site-a".into(),
-        cell: 0,
-        kind: "full-1c".into(),
-        power: 1.0,
-        started_ms: None,
-    }
-}
+use listed::node;
 
 struct Bed {
     core: Core,
