A list that was refused is asked for again within a second or two, by lot

Checked, marshals' logs: 118 restart in one moment at 18.24 s; their questions for the whole list are refused with 503 at 18.27 (58), 19.75 (6) and 22.75 s (242, 243 and 245, neighbours). 141 nodes had gone at 15.93; that counts as told 6 s later, and the grace of 1 s ended at 22.93: the three sent by the list of their start file until then. Ruled out: drains told but not kept (the other 285 kept them), broken watches (no 'list lost' between 19.8 and 22.7). At fault: scout.rs, the wait of 0.8, 1.6, 3.2 pauses with no draw, the same for neighbours to 3 ms. Now 0.4 and 0.8 pauses, drawn between half and all.

--- a/crates/policy/src/policy/scout.rs
+++ b/crates/policy/src/policy/scout.rs
@@ -2,14 +2,19 @@
 
 use super::*;
 
+/// A question that failed is asked again within so many pauses, and so much longer after a second failure.
+/// Drawn anew each time, between half and all of it: marshals that started together were turned away together.
+const AGAIN: [f64; 2] = [0.4, 2.0];
+
 impl Scout {
     pub fn act(&mut self, note: Note, cx: &mut Cx) {
         let Some(pause) = cx.law.ask_pause else { return };
         let wait = |s: f64| secs(s).min(cx.law.ask_within / 2);
         match note {
             Note::Told(Event::Nodes { scope: Scope::Failed, .. }) => {
-                (self.subscribed, self.failures) = (false, (self.failures + 1).min(3));
-                self.ask_at = cx.now + wait(0.4 * pause * 2f64.powi(self.failures));
+                (self.subscribed, self.failures) = (false, (self.failures + 1).min(2));
+                let draw = 0.5 + 0.5 * lot(cx.law.seed, cx.now.as_nanos() as u64);
+                self.ask_at = cx.now + wait(AGAIN[0] * pause * AGAIN[1].powi(self.failures - 1) * draw);
             }
             Note::Told(Event::Nodes { scope, .. }) if scope != Scope::Cached => {
                 (self.subscribed, self.failures) = (true, 0);
