A vote on waits for 30 outcomes that the desk counted since the machines were listed

From the logs: in the last stage all vote on at 17.6 to 17.9 s, its last machines are named by the list at 17.19 (begun 14.0); throng, leave, reset and roll release after 4 s. All marshals heard the same sums; no line to the desk was broken at those votes. So the suspicion is confirmed in part: not a broken line, but time alone; ripe counts from the machines' start (vote.rs, begun + ON_WAIT), which the list tells 2 to 3 s late. Change: tried counts the desk's outcomes of the build in periods that ended after the list named its last machine; a vote on wants 30 of them, for 10 s at most. Without sums all is as before. Test fails with the line taken out (100 ms in place of two desk periods).

--- a/crates/policy/src/policy/judge.rs
+++ b/crates/policy/src/policy/judge.rs
@@ -57,8 +57,10 @@
                     book.methods[method].dispute();
                 }
             }
-            Note::Told(Event::Sums { build, picks, failed, .. }) if build <= self.newest => {
+            Note::Told(Event::Sums { build, picks, failed, age, .. }) if build <= self.newest => {
                 let sum = Tally { n: picks.into(), good: picks.saturating_sub(failed).into() };
+                let whole = build == self.newest && cx.now >= self.manned + age;
+                self.tried += if whole { sum.n } else { 0.0 };
                 self.sums[usize::from(build != self.newest)].add(sum, 1.0);
             }
             Note::Told(Event::Peer { from, text }) => {
--- a/crates/policy/src/policy/scout.rs
+++ b/crates/policy/src/policy/scout.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// A question that failed is asked again within so many pauses, and so much longer after a second failure.
-/// Drawn anew each time, between half and all of it: marshals that started together were turned away together.
+/// Drawn anew between half and all of it: marshals that started together were turned away together.
 const AGAIN: [f64; 2] = [0.4, 2.0];
 
 impl Scout {
--- a/crates/policy/src/policy/vote.rs
+++ b/crates/policy/src/policy/vote.rs
@@ -5,6 +5,9 @@
 /// Vote on after this from a stage's machines running; a stage counts as begun this long after its launch.
 const ON_WAIT: Duration = ms(2500);
 const STAGE_LATEST: Duration = ms(9000);
+/// Where the desk counts: outcomes since the list named the last of the build's machines; the longest wait.
+const TOLD: f64 = 30.0;
+const MOST_WAIT: Duration = ms(10_000);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
 const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
@@ -63,7 +66,10 @@
         let better = below(payoff[1], payoff[0], 0.0, 1.0, 0.25, DELTA);
         // What the desk has counted of all marshals is a sample too: one of 300 never has one by itself.
         let wait = if sound[0].n.max(self.sums[0].n) < LEAST_SAMPLE { 2 * ON_WAIT } else { ON_WAIT };
-        let ripe = better || cx.now >= self.begun(news, cx).max(self.relieved) + wait;
+        // It counts from the machines' start. The list may name them later: by time alone all consent unseen.
+        let since = self.begun(news, cx).max(self.relieved);
+        let told = self.tried >= TOLD || self.sums[1].n == 0.0 || cx.now >= since + MOST_WAIT;
+        let ripe = better || (told && cx.now >= since + wait);
         let verdict = match found.or(worse(0.4)) {
             Some(_) if guilty => Verdict::Back,
             lean if held || lean.is_some() => Verdict::None, // A vote on is taken back while it leans.
--- a/crates/policy/src/state/judge.rs
+++ b/crates/policy/src/state/judge.rs
@@ -30,6 +30,9 @@
     pub relieved: Duration,
     /// When a node last came or went.
     pub stirred: Duration,
+    /// When the list last named another machine of the newest build, and what the desk has counted of the build since.
+    pub manned: Duration,
+    pub tried: f64,
     pub halved: Duration,
     pub renewed: Duration,
     pub told: Duration,
@@ -65,6 +68,9 @@
         if fresh || card.ready != book.ready {
             self.stirred = cx.now;
         }
+        if card.ready && card.entry.build >= self.newest && (fresh || !book.ready) {
+            (self.manned, self.tried) = (cx.now, 0.0);
+        }
         if fresh || !card.ready {
             // The old arm's record outlives its nodes.
             if book.entry.build < self.newest {
--- a/crates/policy/tests/marshal/desk.rs
+++ b/crates/policy/tests/marshal/desk.rs
@@ -42,6 +42,38 @@
     assert!((2400..2800).contains(&counted), "{counted} ms, with the desk's");
 }
 
+/// The list names machines seconds after their start, and each new one anew: the on-wait is over before anybody could send
+/// to them. What the desk has counted before says nothing of them.
+#[test]
+fn where_the_desk_counts_time_alone_is_no_consent() {
+    let told = |counts: &[u32]| {
+        let mut w = one_of_many();
+        w.run(ms(2000), 5);
+        counted(&mut w, 1);
+        w.tell(2, 1, Course::OnTrial, 0.7, VoteReply::Unasked);
+        // Started a moment after the stage began, named 2.4 s later.
+        let start = w.now;
+        w.run(ms(2400), 5);
+        (10..12).for_each(|n| w.list(n, 2, Readiness::Ready, Some(start)));
+        let (listed, before) = (w.now, w.votes.len());
+        for picks in counts {
+            w.run(ms(1000), 5);
+            let age = ms(700);
+            for (build, picks) in [(1, 500), (2, *picks)] {
+                w.step(vec![Event::Sums { build, method: 0, picks, failed: 0, mean: ms(60), age }]);
+            }
+        }
+        let mut later = w.votes[before..].iter();
+        later.find(|v| v.1 == Verdict::On && v.2 == 1).map(|v| (v.0 - listed).as_millis())
+    };
+    let soon = told(&[20, 20, 20, 20]).unwrap();
+    assert!((2000..2400).contains(&soon), "{soon} ms: thirty are counted with the second word of the desk");
+    assert_eq!(told(&[5, 5, 5, 5, 5]), None, "too few are counted");
+    // A desk that counts next to nothing of the build holds it up for no longer than this.
+    let late = told(&[0; 14]).unwrap();
+    assert!((7000..9000).contains(&late), "{late} ms");
+}
+
 #[test]
 fn a_build_that_fails_by_the_desk_s_counts_is_voted_back_and_not_on() {
     // A seventh fails: by the widths of an unknown variance that takes some 500 outcomes.
