--- /dev/null
+++ b/crates/measure/src/scale/bursts.rs
@@ -0,0 +1,242 @@
+//! Bursts at list and desk: what a zone's loss, a restart of all marshals, a peak minute of changes and regions apart
+//! ask of them, with the real messages of the wire. Who watches which list is counted for several layouts.
+
+use std::time::Duration;
+
+use ivydrift_policy::port::*;
+use ivydrift_wire::desk::{self, Counted, Vote, VoteAnswer};
+use ivydrift_wire::http::HeadWriter;
+use ivydrift_wire::list;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::cold::setup;
+use super::core;
+use super::crowd::{most_within, Crowd, Setup};
+use super::table::{short, whole};
+use super::{Error, Plan, Table, MARSHALS, NODES, SERVICES, ZONES};
+
+const REGIONS: usize = 6;
+/// Changes of configuration on a day; a peak minute has ten times the mean.
+const CHANGES: f64 = 8_900.0;
+const PEAK: f64 = 10.0;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Bytes of one question as the edge asks it.
+fn question(verb: &str, path: &str, body: usize) -> usize {
+    let head = HeadWriter::request(verb, path)
+        .field("host", "10.0.0.1:7001")
+        .field("user-agent", format!("ivydrift/{} marshal-3699", env!("CARGO_PKG_VERSION")))
+        .field("content-length", body.to_string())
+        .field("content-type", "application/json");
+    head.finish().len() + body
+}
+
+/// Bytes of the messages of list and desk.
+pub struct Sizes {
+    pub list_question: usize,
+    pub desk_question: usize,
+    pub news: usize,
+    pub vote: usize,
+    pub vote_answer: usize,
+}
+
+pub fn sizes() -> Sizes {
+    let news = core::released();
+    let stage = news.stage.unwrap_or(desk::Stage {
+        build: 1,
+        stage: 0,
+        course: desk::Course::Released,
+        cap: 1.0,
+        age_ms: 0,
+    });
+    let vote = Vote { marshal: 3699, verdict: desk::Verdict::Back, stage: 0, build: 312 };
+    Sizes {
+        list_question: question("GET", &list::path("shop", 123_456, 10), 0),
+        desk_question: question("GET", "/v1/stage?index=123456&wait=5s&marshal=3699", 0),
+        news: desk::write(&news).len(),
+        vote: question("POST", "/v1/votes", desk::write(&vote).len()),
+        vote_answer: desk::write(&VoteAnswer { counted: Counted::Counts, stage }).len(),
+    }
+}
+
+/// Who watches lists.
+pub struct Layout {
+    pub name: &'static str,
+    /// Nodes on a list, lists that a marshal watches, and marshals that watch a list.
+    pub nodes: usize,
+    pub lists: f64,
+    pub watchers: f64,
+}
+
+pub fn layouts() -> Vec<Layout> {
+    let (each, marshals) = (NODES / SERVICES, MARSHALS as f64);
+    let homes = |name, h: usize| {
+        let watchers = (h * ZONES) as f64;
+        Layout { name, nodes: each, lists: watchers * SERVICES as f64 / marshals, watchers }
+    };
+    vec![
+        Layout { name: "today, one list of all", nodes: NODES, lists: 1.0, watchers: marshals },
+        Layout { name: "all services everywhere", nodes: each, lists: SERVICES as f64, watchers: marshals },
+        homes("homes, 4 of each zone", 4),
+        homes("homes, 1 of each zone", 1),
+    ]
+}
+
+/// What shipped modules ask of a list that is away.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outage {
+    /// Questions a second while it is away, and the most within a second then.
+    pub rate: f64,
+    pub most: usize,
+    /// On its return: the most within a tenth of a second and within a second, and seconds until all are told.
+    pub tenth: usize,
+    pub second: usize,
+    pub all: f64,
+}
+
+/// The list is away from `modules` of all marshals for a minute; a longer time is the same, as waits grow no more.
+///
+/// # Errors
+/// What is wrong with the terms.
+pub fn outage(modules: usize, seed: u64) -> Result<Outage, Error> {
+    let mut crowd = Crowd::new(Setup { of: MARSHALS, ..setup(modules, 1e-9, seed) })?;
+    crowd.run(5 * SECOND);
+    crowd.list_up = false;
+    crowd.tell_all(&Event::Nodes { scope: Scope::Failed, nodes: vec![] });
+    crowd.run(60 * SECOND);
+    let away = std::mem::take(&mut crowd.seen.asks);
+    (crowd.list_up, crowd.seen) = (true, Default::default());
+    let from = crowd.now;
+    crowd.run(30 * SECOND);
+    let back = &crowd.seen.asks;
+    Ok(Outage {
+        rate: away.len() as f64 / 60.0,
+        most: most_within(&away, SECOND),
+        tenth: most_within(back, SECOND / 10),
+        second: most_within(back, SECOND),
+        all: back.last().map_or(0.0, |at| (*at - from).as_secs_f64()),
+    })
+}
+
+/// The desk is away for a minute: questions a second, and the most within a second of its return. Drawn here by the
+/// edge's rule: full jitter from 200 ms, doubled four times at most; `connect`: what one failure takes.
+pub fn desk_outage(marshals: usize, connect: f64, seed: u64) -> [f64; 2] {
+    let mut dice = StdRng::seed_from_u64(seed);
+    let (mut asked, mut back) = (0, Vec::new());
+    for _ in 0..marshals {
+        let (mut at, mut failures) = (0.0, 0);
+        while at < 60.0 {
+            asked += 1;
+            at += connect + 0.2 * f64::from(1u32 << u32::min(failures, 4)) * dice.random_range(0.1..=1.0);
+            failures += 1;
+        }
+        back.push(Duration::from_secs_f64(at));
+    }
+    back.sort();
+    [f64::from(asked) / 60.0, most_within(&back, SECOND) as f64]
+}
+
+fn mb(bytes: f64) -> String {
+    short(bytes / 1e6)
+}
+
+fn watched() -> Table {
+    let title = "At the node list, messages as the wire writes them; one answer for each list that changed, and one for each change";
+    let head = [
+        "what happens", "who watches", "lists changed", "answers at least", "MB", "answers at most", "MB",
+        "to one marshal MB",
+    ];
+    let mut table = Table::new(title, &head);
+    let zone_nodes = NODES as f64 / ZONES as f64;
+    let left = 1.0 - 1.0 / ZONES as f64;
+    for layout in layouts() {
+        let listed = list::write(&core::nodes(layout.nodes)).len() as f64;
+        let lists = NODES as f64 / layout.nodes as f64;
+        let mut row = |what: &str, changed: f64, changes: f64, watchers: f64| {
+            let (least, most) = (changed * watchers, changes * watchers);
+            table.row([
+                what.to_owned(),
+                layout.name.to_owned(),
+                whole(changed),
+                whole(least),
+                mb(least * listed),
+                whole(most),
+                mb(most * listed),
+                mb(least * listed / MARSHALS as f64),
+            ]);
+        };
+        // A list whose nodes lie in zones by lot has none in this one with this chance.
+        let touched = lists * (1.0 - left.powf(layout.nodes as f64));
+        row("a zone is lost within 1 s, seen by the others", touched, zone_nodes, layout.watchers * left);
+        row("it returns within 1 s", touched, zone_nodes, layout.watchers);
+        let minute = CHANGES / 1440.0 * PEAK;
+        row("a peak minute: changes, in 60 s", minute.min(lists), minute, layout.watchers);
+        row("an ordinary day: 7,700 nodes go and come", lists.min(7_700.0), 2.0 * 7_700.0, layout.watchers);
+        row("all marshals start within 60 s", lists, lists, layout.watchers);
+        row("a region's marshals return after an hour", lists, lists, layout.watchers / REGIONS as f64);
+    }
+    table.note(format!("A peak minute has {PEAK:.0} times the mean of a day's {CHANGES:.0} changes. At least: all changes of a list within the span in one answer; at most: one answer each."));
+    table.note(format!("The wire takes lists of {} nodes and {} bytes at most: one of {NODES} nodes, {} bytes, is refused whole today.", whole(list::LIST_NODES as f64), whole(list::LIST_BYTES as f64), whole(list::write(&core::nodes(NODES)).len() as f64)));
+    table
+}
+
+/// # Errors
+/// What is wrong with the terms.
+pub fn run(plan: &Plan) -> Result<Vec<Table>, Error> {
+    let sizes = sizes();
+    let mut words = Table::new("Messages of list and desk", &["message", "bytes"]);
+    for (name, bytes) in [
+        ("question to the list", sizes.list_question),
+        ("a list's answer, body, for each node of 1,000", list::write(&core::nodes(1000)).len() / 1000),
+        ("question to the desk", sizes.desk_question),
+        ("its news, body", sizes.news),
+        ("a vote", sizes.vote),
+        ("its answer, body", sizes.vote_answer),
+    ] {
+        words.row([name.to_owned(), whole(bytes as f64)]);
+    }
+    let title = "At list and desk while they are away, and on their return; shipped modules ask the list, one list each";
+    let head = [
+        "marshals cut off", "list: questions/s away", "most in 1 s", "on return: most in 0.1 s", "in 1 s",
+        "all told after s", "desk refuses: questions/s away", "return: most in 1 s", "desk silent: questions/s away",
+        "return: most in 1 s",
+    ];
+    let mut away = Table::new(title, &head);
+    for size in plan.sizes_or(&[MARSHALS / REGIONS, MARSHALS]) {
+        let out = outage(size, 1)?;
+        let (refused, silent) = (desk_outage(size, 0.0, 1), desk_outage(size, 1.0, 1));
+        away.row([
+            whole(size as f64),
+            short(out.rate),
+            whole(out.most as f64),
+            whole(out.tenth as f64),
+            whole(out.second as f64),
+            short(out.all),
+            short(refused[0]),
+            whole(refused[1]),
+            short(silent[0]),
+            whole(silent[1]),
+        ]);
+    }
+    away.note("A minute away stands for an hour: waits grow to their longest within seconds. The desk's waits are drawn here by the edge's rule; a silent desk costs 1 s of connecting each time.");
+    let title = "At list and desk when all marshals start within 60 s";
+    let head = ["who watches", "starts/s", "list: questions/s", "MB/s", "connections to it", "desk: questions/s", "kB/s"];
+    let mut starts = Table::new(title, &head);
+    let each = MARSHALS as f64 / 60.0;
+    for layout in layouts() {
+        let listed = list::write(&core::nodes(layout.nodes)).len() as f64;
+        let questions = each * layout.lists;
+        starts.row([
+            layout.name.to_owned(),
+            short(each),
+            whole(questions),
+            mb(questions * (listed + sizes.list_question as f64)),
+            whole(MARSHALS as f64 * layout.lists),
+            whole(questions),
+            short(questions * (sizes.news + sizes.desk_question) as f64 / 1000.0),
+        ]);
+    }
+    starts.note("One connection and one question held for each list and desk watched, as the shell asks today; a service has a desk of its own.");
+    Ok(vec![words, watched(), away, starts])
+}
--- /dev/null
+++ b/crates/measure/src/scale/cold.rs
@@ -0,0 +1,143 @@
+//! Cold budgets (rule 4) and caps on exposure (rule 5) of one service, divided over ever more marshals at the same
+//! traffic: what all modules together let through, against the bound.
+
+use std::time::Duration;
+
+use ivydrift_policy::port::*;
+
+use super::crowd::{most_within, stage, Crowd, Setup};
+use super::table::{short, spread, whole};
+use super::{Error, Plan, Table, MARSHALS, RATE, SERVICES};
+
+const NODES: usize = 16;
+/// RPCs a second of one service.
+pub const SERVICE: f64 = RATE / SERVICES as f64;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The figures of rule 4 by default: capacity at the start, seconds until warm, multiple, window in seconds.
+const COLD: [f64; 4] = [0.4, 5.0, 3.0, 1.0];
+/// Those of rule 5: the first cap, RPCs free, window in seconds.
+const CAP: [f64; 3] = [0.14, 2.0, 3.0];
+
+pub fn setup(modules: usize, rate: f64, seed: u64) -> Setup {
+    let votes = [modules.div_ceil(2), modules.div_ceil(3)];
+    Setup { modules, of: modules, nodes: NODES, methods: 5, rate, peers: false, votes, seed }
+}
+
+/// What came of cold nodes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cold {
+    /// The worst window of the worst cold node: RPCs sent against the bound, one RPC over it allowed.
+    pub worst: f64,
+    /// RPCs sent to a cold node on the mean, a second.
+    pub mean: f64,
+    /// The part of all RPCs pushed back while nodes were cold.
+    pub pushed_back: f64,
+}
+
+/// `cold` of the nodes start again at once, after which RPCs come `times` as fast.
+///
+/// # Errors
+/// What is wrong with the terms.
+pub fn cold(modules: usize, cold: usize, times: f64, seed: u64) -> Result<Cold, Error> {
+    let mut crowd = Crowd::new(setup(modules, SERVICE, seed))?;
+    crowd.run(30 * SECOND);
+    let before = crowd.seen.picks.len();
+    // What a warm node has answered: what it can do lies higher.
+    let capacity = before as f64 / 30.0 / NODES as f64;
+    crowd.seen = Default::default();
+    crowd.rate *= times;
+    let from = crowd.now;
+    crowd.restart(0..cold, 1);
+    crowd.run(6 * SECOND);
+    let [least, warm, multiple, window] = COLD;
+    let present = |t: f64| least + (1.0 - least) * (t / warm).clamp(0.0, 1.0);
+    let span = Duration::from_secs_f64(window);
+    let mut worst: f64 = 0.0;
+    for node in 0..cold {
+        let sent: Vec<Duration> = crowd.seen.picks.iter().filter(|p| p.2 == node).map(|p| p.0 - from).collect();
+        for (i, at) in sent.iter().enumerate() {
+            let used = sent[..=i].iter().rev().take_while(|t| **t + span > *at).count() as f64;
+            let at = at.as_secs_f64();
+            let mean = (present((at - window).max(0.0)) + present(at)) / 2.0;
+            worst = worst.max((used - 1.0) / (multiple * mean * capacity * window));
+        }
+    }
+    let sent = crowd.seen.picks.iter().filter(|p| p.2 < cold).count();
+    let (rpcs, back) = (crowd.seen.rpcs.len().max(1), crowd.seen.pushed_back.len());
+    Ok(Cold { worst, mean: sent as f64 / 6.0 / cold as f64, pushed_back: back as f64 / rpcs as f64 })
+}
+
+/// What a build on trial in its first stage got.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Exposed {
+    /// The most in any window; the sum of what each marshal may by its own account then; the bound of all as one.
+    pub most: f64,
+    pub each: f64,
+    pub one: f64,
+    /// The part of all RPCs.
+    pub part: f64,
+}
+
+/// Two of the nodes run a build on trial, which is as good as the other.
+///
+/// # Errors
+/// What is wrong with the terms.
+pub fn exposed(modules: usize, seed: u64) -> Result<Exposed, Error> {
+    let mut crowd = Crowd::new(setup(modules, SERVICE, seed))?;
+    crowd.run(10 * SECOND);
+    crowd.tell_all(&stage(2, 0, Course::OnTrial, CAP[0], Duration::ZERO));
+    crowd.restart(0..2, 2);
+    crowd.seen = Default::default();
+    crowd.run(30 * SECOND);
+    let (span, seen) = (Duration::from_secs_f64(CAP[2]), &crowd.seen);
+    let sent: Vec<Duration> = seen.picks.iter().filter(|p| p.3 == 2).map(|p| p.0).collect();
+    let taken = seen.rpcs.len() as f64 / 30.0 * CAP[2];
+    Ok(Exposed {
+        most: most_within(&sent, span) as f64,
+        each: modules as f64 * CAP[1] + CAP[0] * taken,
+        one: CAP[1] + CAP[0] * taken,
+        part: sent.len() as f64 / seen.rpcs.len().max(1) as f64,
+    })
+}
+
+/// # Errors
+/// What is wrong with the terms.
+pub fn run(plan: &Plan) -> Result<Vec<Table>, Error> {
+    let sizes = plan.sizes_or(&[10, 100, 308, 1_000, MARSHALS]);
+    let title = format!(
+        "Rule 4: one service, {NODES} nodes, {SERVICE:.0} RPCs a second over all marshals; worst window of the worst cold node"
+    );
+    let head = [
+        "marshals", "1 cold: of the bound", "RPC/s to it", "pushed back", "all cold: of the bound", "RPC/s to each",
+        "pushed back", "12 cold, 4 times the RPCs: of the bound", "RPC/s to each", "pushed back",
+    ];
+    let mut rule4 = Table::new(title, &head);
+    let title = "Rule 5: the same service, 2 of 16 nodes with a build on trial, first stage, cap 0.14, 2 free, window 3 s";
+    let head = ["marshals", "most in a window", "bound, each by itself", "bound, all as one", "part of RPCs"];
+    let mut rule5 = Table::new(title, &head);
+    for size in sizes {
+        let mut cells = vec![whole(size as f64)];
+        for (cold_nodes, times) in [(1, 1.0), (NODES, 1.0), (12, 4.0)] {
+            let runs: Vec<Cold> = (0..plan.runs() as u64)
+                .map(|seed| cold(size, cold_nodes, times, seed + 1))
+                .collect::<Result<_, _>>()?;
+            let of = |value: fn(&Cold) -> f64| spread(&runs.iter().map(value).collect::<Vec<_>>());
+            cells.extend([of(|c| c.worst), of(|c| c.mean), of(|c| c.pushed_back)]);
+        }
+        rule4.row(cells);
+        let runs: Vec<Exposed> =
+            (0..plan.runs() as u64).map(|seed| exposed(size, seed + 1)).collect::<Result<_, _>>()?;
+        let of = |value: fn(&Exposed) -> f64| runs.iter().map(value).collect::<Vec<_>>();
+        rule5.row([
+            whole(size as f64),
+            spread(&of(|e| e.most)),
+            short(of(|e| e.each)[0]),
+            short(of(|e| e.one)[0]),
+            spread(&of(|e| e.part)),
+        ]);
+    }
+    rule4.note("The bound: 3 x present capacity x 1 s, with what a warm node answered before as its capacity, and one RPC over it. All of these modules run.");
+    rule5.note("Each by itself: the sum of 2 + 0.14 x its own RPCs over all marshals, what the checker holds each to. As one: 2 + 0.14 x all RPCs.");
+    Ok(vec![rule4, rule5])
+}
--- /dev/null
+++ b/crates/measure/src/scale/crowd.rs
@@ -0,0 +1,265 @@
+//! Many shipped modules of one service in virtual time, as their marshals would drive them: RPCs at random marshals,
+//! nodes that answer after some milliseconds, peers' datagrams that take one.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use ivydrift_policy::port::*;
+use ivydrift_policy::Marshal;
+use ivydrift_wire::peer::TEXT_BYTES;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::core::{terms, START, WORK_MS};
+use super::{Error, ZONES};
+
+/// What a crowd is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Modules that run, and how many marshals their terms name.
+    pub modules: usize,
+    pub of: usize,
+    pub nodes: usize,
+    pub methods: usize,
+    /// RPCs a second of all modules together.
+    pub rate: f64,
+    pub peers: bool,
+    /// Votes that move a build on and send it back.
+    pub votes: [usize; 2],
+    pub seed: u64,
+}
+
+enum Ev {
+    Rpc,
+    Ended { module: usize, rpc: RpcIx, pick: usize, node: NodeIx },
+    Wake { module: usize, tag: u64 },
+    Peer { to: usize, from: usize, text: Vec<u8> },
+}
+
+struct Held(Duration, u64, Ev);
+
+impl PartialEq for Held {
+    fn eq(&self, other: &Held) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Held {}
+impl PartialOrd for Held {
+    fn partial_cmp(&self, other: &Held) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Held {
+    fn cmp(&self, other: &Held) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// What was seen of all modules, in the order of time.
+#[derive(Default)]
+pub struct Seen {
+    pub rpcs: Vec<Duration>,
+    /// Each pick: when, by which module, at which node, of which build.
+    pub picks: Vec<(Duration, usize, NodeIx, Build)>,
+    pub ok: u64,
+    pub pushed_back: Vec<Duration>,
+    pub aborted: u64,
+    pub votes: Vec<(Duration, usize, Verdict)>,
+    /// Questions to the node list.
+    pub asks: Vec<Duration>,
+    /// Datagrams to peers, their bytes, and those too long for one.
+    pub told: [u64; 3],
+}
+
+pub struct Crowd {
+    pub now: Duration,
+    pub seen: Seen,
+    pub entries: Vec<NodeEntry>,
+    /// The part of RPCs that fails, by build.
+    pub fails: HashMap<Build, f64>,
+    /// The node list answers.
+    pub list_up: bool,
+    pub rate: f64,
+    setup: Setup,
+    modules: Vec<Marshal>,
+    queue: BinaryHeap<Reverse<Held>>,
+    seq: u64,
+    /// Picks of the RPCs in hand.
+    hands: HashMap<(usize, RpcIx), usize>,
+    next: RpcIx,
+    dice: StdRng,
+}
+
+impl Crowd {
+    /// All nodes run build 1, which is out, and have run it for long.
+    ///
+    /// # Errors
+    /// What is wrong with the terms.
+    pub fn new(setup: Setup) -> Result<Crowd, Error> {
+        let base = terms(setup.methods, 0)?.rollout;
+        let module = |marshal: usize| {
+            let mut own = base.clone();
+            (own.marshal, own.marshals, own.zone) = (marshal, setup.of, marshal % ZONES);
+            own.seed = marshal as u64 + 1 + (setup.seed << 32);
+            own.limits.peers = setup.peers;
+            [own.release.on_votes, own.release.back_votes] = setup.votes;
+            Marshal::new(&own)
+        };
+        let entry = |node| NodeEntry {
+            node,
+            name: node as u64,
+            kind: 0,
+            power: 1.0,
+            cell: 0,
+            zone: node % ZONES,
+            readiness: Readiness::Ready,
+            started: None,
+            build: 1,
+        };
+        let mut crowd = Crowd {
+            now: START,
+            seen: Seen::default(),
+            entries: (0..setup.nodes).map(entry).collect(),
+            fails: HashMap::new(),
+            list_up: true,
+            rate: setup.rate,
+            modules: (0..setup.modules).map(module).collect(),
+            queue: BinaryHeap::new(),
+            seq: 0,
+            hands: HashMap::new(),
+            next: 0,
+            dice: StdRng::seed_from_u64(setup.seed),
+            setup,
+        };
+        let whole = Event::Nodes { scope: Scope::Full, nodes: crowd.entries.clone() };
+        let out = stage(1, 2, Course::Released, 1.0, Duration::from_secs(90));
+        // Each begins at its own time of a beat.
+        for module in 0..setup.modules {
+            crowd.now = START + Duration::from_micros(crowd.dice.random_range(0..100_000));
+            crowd.tell(module, vec![out.clone(), whole.clone()]);
+        }
+        crowd.now = START + Duration::from_millis(100);
+        let first = crowd.now + crowd.gap();
+        crowd.put(first, Ev::Rpc);
+        Ok(crowd)
+    }
+
+    fn put(&mut self, at: Duration, ev: Ev) {
+        self.seq += 1;
+        self.queue.push(Reverse(Held(at, self.seq, ev)));
+    }
+
+    fn gap(&mut self) -> Duration {
+        let part: f64 = self.dice.random_range(1e-12..1.0);
+        Duration::from_secs_f64((-part.ln() / self.rate).min(1e9))
+    }
+
+    /// The same to all modules, within this span of one another.
+    pub fn tell_all(&mut self, event: &Event) {
+        (0..self.modules.len()).for_each(|module| self.tell(module, vec![event.clone()]));
+    }
+
+    /// These nodes start again now, with this build.
+    pub fn restart(&mut self, nodes: std::ops::Range<NodeIx>, build: Build) {
+        let now = self.now;
+        self.entries[nodes.clone()].iter_mut().for_each(|e| (e.started, e.build) = (Some(now), build));
+        let nodes = self.entries[nodes].to_vec();
+        self.tell_all(&Event::Nodes { scope: Scope::Delta, nodes });
+    }
+
+    fn tell(&mut self, module: usize, events: Vec<Event>) {
+        for action in self.modules[module].handle(self.now, events) {
+            match action {
+                Action::Pick { rpc, node, .. } => {
+                    let Some(picks) = self.hands.get_mut(&(module, rpc)) else { continue };
+                    let pick = *picks;
+                    *picks += 1;
+                    self.seen.picks.push((self.now, module, node, self.entries[node].build));
+                    let work = Duration::from_secs_f64(self.dice.random_range(WORK_MS) / 1000.0);
+                    self.put(self.now + work, Ev::Ended { module, rpc, pick, node });
+                }
+                Action::PushBack { rpc, .. } => {
+                    self.hands.remove(&(module, rpc));
+                    self.seen.pushed_back.push(self.now);
+                }
+                Action::Abort { rpc } => {
+                    self.hands.remove(&(module, rpc));
+                    self.seen.aborted += 1;
+                }
+                Action::Wake { after, tag } => self.put(self.now + after, Ev::Wake { module, tag }),
+                Action::Tell { to, text } => {
+                    self.seen.told[0] += 1;
+                    self.seen.told[1] += text.len() as u64;
+                    // What is too long is never sent: `wire::peer::write` says none.
+                    if text.len() > TEXT_BYTES {
+                        self.seen.told[2] += 1;
+                    } else if let Some(to) = to.filter(|to| *to < self.modules.len()) {
+                        let at = self.now + Duration::from_millis(1);
+                        self.put(at, Ev::Peer { to, from: module, text });
+                    }
+                }
+                Action::Vote { verdict, .. } => self.seen.votes.push((self.now, module, verdict)),
+                Action::Subscribe(true) | Action::FetchList => {
+                    self.seen.asks.push(self.now);
+                    let scope = if self.list_up { Scope::Delta } else { Scope::Failed };
+                    self.tell(module, vec![Event::Nodes { scope, nodes: vec![] }]);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.queue.peek().is_some_and(|h| h.0 .0 <= end) {
+            let Some(Reverse(Held(at, _, ev))) = self.queue.pop() else { break };
+            self.now = self.now.max(at);
+            match ev {
+                Ev::Rpc => {
+                    let module = self.dice.random_range(0..self.modules.len());
+                    let method = self.dice.random_range(0..self.setup.methods);
+                    self.next = self.next.wrapping_add(1);
+                    let (rpc, left) = (self.next, Duration::from_secs(3));
+                    self.hands.insert((module, rpc), 0);
+                    self.seen.rpcs.push(self.now);
+                    let (tenant, key, work, repeated) = (None, None, None, false);
+                    self.tell(module, vec![Event::Rpc { rpc, method, tenant, key, left, work, repeated }]);
+                    let next = self.now + self.gap();
+                    self.put(next, Ev::Rpc);
+                }
+                Ev::Ended { module, rpc, pick, node } => {
+                    let part = self.fails.get(&self.entries[node].build).copied().unwrap_or(0.0);
+                    let failed = part > 0.0 && self.dice.random_range(0.0..1.0) < part;
+                    let outcome = if failed { Outcome::Error } else { Outcome::Ok };
+                    if !failed && self.hands.remove(&(module, rpc)).is_some() {
+                        self.seen.ok += 1;
+                    }
+                    let took = Duration::from_millis(6);
+                    let (done, load) = (!failed, Load::default());
+                    let ended = Event::PickEnded { rpc, pick, node, outcome, took, done, load };
+                    self.tell(module, vec![ended]);
+                }
+                Ev::Wake { module, tag } => self.tell(module, vec![Event::Timer { tag }]),
+                Ev::Peer { to, from, text } => self.tell(to, vec![Event::Peer { from, text }]),
+            }
+        }
+        self.now = end;
+    }
+}
+
+pub fn stage(build: Build, stage: usize, course: Course, cap: f64, age: Duration) -> Event {
+    Event::Stage { build, stage, course, reply: VoteReply::Unasked, cap, age }
+}
+
+/// The most events of sorted times within one span.
+pub fn most_within(times: &[Duration], span: Duration) -> usize {
+    let mut first = 0;
+    let counts = times.iter().enumerate().map(|(i, at)| {
+        while times[first] + span <= *at {
+            first += 1;
+        }
+        i + 1 - first
+    });
+    counts.max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/measure/src/scale/methods.rs
@@ -0,0 +1,93 @@
+//! One core by methods in its terms: ticks, memory of methods seen and unseen, what an RPC costs.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::core::{method, nodes, terms, Ask, Rig, Spent};
+use super::nodes::EACH;
+use super::part::{cpu, memory, runs, Runs};
+use super::table::{short, spread, whole};
+use super::{Error, Plan, Table};
+
+const NODES: usize = 300;
+/// Methods that RPCs ask for before all are seen.
+const USED: usize = 100;
+
+/// A core of so many methods that knows some nodes, with the names.
+///
+/// # Errors
+/// What is wrong with the terms.
+pub fn rig(methods: usize) -> Result<(Rig, Vec<String>), Error> {
+    let mut rig = Rig::new(terms(methods, 0)?, 1);
+    rig.begin(&nodes(NODES));
+    Ok((rig, (0..methods).map(method).collect()))
+}
+
+fn part(methods: usize) -> Result<(), Error> {
+    let (seconds, from) = (10.0, cpu());
+    let read = terms(methods, 0)?;
+    let (read_s, held) = ((cpu() - from).as_secs_f64(), memory()?);
+    drop(read);
+    let (mut rig, names) = rig(methods)?;
+    let used = USED.min(methods);
+    let some = |n: u64| Ask { method: &names[n as usize * 7 % used * (names.len() / used)], tenant: None };
+    rig.run(Duration::from_secs(1), EACH, some);
+    rig.spent = Spent::default();
+    rig.run(Duration::from_secs_f64(seconds), EACH, some);
+    let (spent, rpc_us, unseen) = (rig.spent, rig.per_rpc_us(), memory()?);
+    // Each method once, quickly: the ticks between cost the most.
+    let rate = 2000.0;
+    let span = Duration::from_secs_f64(methods as f64 / rate);
+    rig.run(span, rate, |n| Ask { method: &names[n as usize % names.len()], tenant: None });
+    let seen = memory()?;
+    println!(
+        "{}",
+        json!({
+            "read_ms": read_s * 1000.0, "read_mib": held.now / 1048576.0,
+            "ticks": 100.0 * spent.tick_cpu / seconds, "rpc_us": rpc_us,
+            "unseen": unseen.now, "seen": seen.now,
+        })
+    );
+    Ok(())
+}
+
+/// # Errors
+/// When a part could not be measured.
+pub fn run(plan: &Plan) -> Result<Vec<Table>, Error> {
+    let sizes = plan.sizes_or(&[100, 1_000, 14_000]);
+    if plan.part {
+        part(sizes[0])?;
+        return Ok(vec![]);
+    }
+    let head = [
+        "methods", "ticks % of a core", "RPC us", "MiB, 100 seen", "MiB, all seen", "kB a method unseen",
+        "kB a method more once seen", "terms read ms",
+    ];
+    let title = format!("One core with its module, {NODES} nodes, {EACH:.0} RPCs a second, by methods in its terms");
+    let mut table = Table::new(title, &head);
+    let mut before: Option<(usize, Runs)> = None;
+    for size in sizes {
+        let runs = runs("methods", size, plan.runs())?;
+        let mib = |name| spread(&runs.get(name).iter().map(|b| b / 1048576.0).collect::<Vec<_>>());
+        let more = before.as_ref().map(|(n, b)| {
+            let (more, methods) = (runs.middle("unseen") - b.middle("unseen"), (size - n) as f64);
+            short(more / methods / 1000.0)
+        });
+        let seen = (runs.middle("seen") - runs.middle("unseen")) / size.saturating_sub(USED).max(1) as f64;
+        table.row([
+            whole(size as f64),
+            runs.spread("ticks"),
+            runs.spread("rpc_us"),
+            mib("unseen"),
+            mib("seen"),
+            more.unwrap_or("-".into()),
+            if size > USED { short(seen / 1000.0) } else { "-".into() },
+            runs.spread("read_ms"),
+        ]);
+        before = Some((size, runs));
+    }
+    table.note("10 s of virtual time after 1 s, of RPCs to 100 of the methods; then each method once. MiB are of the whole process.");
+    table.note("A method unseen: against the row above. Build 1 is out, none on trial.");
+    Ok(vec![table])
+}
--- a/crates/measure/src/scale/mod.rs
+++ b/crates/measure/src/scale/mod.rs
@@ -4,10 +4,18 @@
 //! Processor time is that of the process by its own clock; memory is what the kernel says of a process of its own
 //! for each size. Counts come from one seeded run and are the same every time.
 
+pub mod bursts;
+pub mod cold;
 pub mod core;
+pub mod crowd;
+pub mod evidence;
+pub mod meeting;
+pub mod methods;
 pub mod nodes;
 pub mod part;
+pub mod services;
 pub mod table;
+pub mod tenants;
 
 use std::path::PathBuf;
 
@@ -34,11 +42,24 @@
     pub run: fn(&Plan) -> Result<Vec<Table>, Error>,
 }
 
-pub const SUBJECTS: &[Subject] = &[Subject {
-    name: "nodes",
-    about: "one core with its module at 95 RPCs a second, by nodes known",
-    run: nodes::run,
-}];
+pub const SUBJECTS: &[Subject] = &[
+    Subject {
+        name: "nodes",
+        about: "one core with its module at 95 RPCs a second, by nodes known",
+        run: nodes::run,
+    },
+    Subject { name: "methods", about: "the same by methods in its terms", run: methods::run },
+    Subject { name: "tenants", about: "reading terms and finding a tenant, by tenants", run: tenants::run },
+    Subject { name: "services", about: "one core a service, many in one process", run: services::run },
+    Subject { name: "evidence", about: "how long a verdict takes, alone, by zone, by all", run: evidence::run },
+    Subject {
+        name: "meeting",
+        about: "who meets which service, and the connections of a node",
+        run: meeting::run,
+    },
+    Subject { name: "bursts", about: "a zone lost, all restarted, a peak minute, regions apart", run: bursts::run },
+    Subject { name: "cold", about: "cold budgets and caps divided over ever more marshals", run: cold::run },
+];
 
 /// How a subject is to be measured.
 #[derive(Clone, Debug, Default)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,3 +10,9 @@
 mod state;
 
 pub use marshal::Marshal;
+
+/// The test that verdicts rest on, for whoever measures how many outcomes one takes.
+pub mod evidence {
+    pub use crate::policy::{below, width, DELTA, HALVE, LEAST_SAMPLE, MARGIN};
+    pub use crate::state::Tally;
+}
--- a/crates/policy/src/policy/judge.rs
+++ b/crates/policy/src/policy/judge.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Records are halved this often.
-const HALVE: Duration = ms(5000);
+pub const HALVE: Duration = ms(5000);
 /// Peers' counts are told this often, and say nothing when older than the second figure.
 const TELL: [Duration; 2] = [ms(1000), ms(3200)];
 /// A node errs by itself beyond this multiple of its arm's part of errors.
--- a/crates/policy/src/policy/mod.rs
+++ b/crates/policy/src/policy/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::port::*;
 use crate::state::*;
-use widths::*;
+pub use {judge::HALVE, vote::MARGIN, widths::*};
 
 /// Waits and silences are looked at every beat, verdicts and idle marshals every look.
 pub const BEAT: Duration = ms(20);
--- a/crates/policy/src/policy/vote.rs
+++ b/crates/policy/src/policy/vote.rs
@@ -6,7 +6,7 @@
 const ON_WAIT: Duration = ms(2500);
 const STAGE_LATEST: Duration = ms(9000);
 /// How much worse the new arm must be: payoff (the design's), soundness, pace (and more for few machines).
-const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
+pub const MARGIN: [f64; 4] = [0.05, 0.01, 0.16, 0.25];
 /// Evidence must stand against a build this long, for trouble in the fleet to show itself first: unsound;
 /// failing by the desk's counts of both arms; late or slow on trial; such when alone, with no older arm.
 const PONDER: [Duration; 4] = [ms(800), ms(1500), ms(3000), ms(15_000)];
