Small forms of ivydrift-measure scale in tests; fewer modules than marshals have numbers spread

Two bounds failed at first and the measurement was at fault: cold nodes were held to the capacity seen before RPCs came four times as fast (now: the least with which all warm nodes carry them), and the first 300 of 3,700 numbers stood for all, whose waits are then all alike.

--- a/crates/measure/src/scale/bursts.rs
+++ b/crates/measure/src/scale/bursts.rs
@@ -144,7 +144,13 @@
 fn watched() -> Table {
     let title = "At the node list, messages as the wire writes them; one answer for each list that changed, and one for each change";
     let head = [
-        "what happens", "who watches", "lists changed", "answers at least", "MB", "answers at most", "MB",
+        "what happens",
+        "who watches",
+        "lists changed",
+        "answers at least",
+        "MB",
+        "answers at most",
+        "MB",
         "to one marshal MB",
     ];
     let mut table = Table::new(title, &head);
@@ -152,8 +158,10 @@
     let left = 1.0 - 1.0 / ZONES as f64;
     for layout in layouts() {
         let listed = list::write(&core::nodes(layout.nodes)).len() as f64;
-        let lists = NODES as f64 / layout.nodes as f64;
-        let mut row = |what: &str, changed: f64, changes: f64, watchers: f64| {
+        let lists = if layout.nodes == NODES { 1.0 } else { SERVICES as f64 };
+        // `part`: that of all marshals which it reaches.
+        let mut row = |what: &str, changed: f64, changes: f64, part: f64| {
+            let watchers = layout.watchers * part;
             let (least, most) = (changed * watchers, changes * watchers);
             table.row([
                 what.to_owned(),
@@ -163,20 +171,20 @@
                 mb(least * listed),
                 whole(most),
                 mb(most * listed),
-                mb(least * listed / MARSHALS as f64),
+                mb(least * listed / MARSHALS as f64 / part),
             ]);
         };
         // A list whose nodes lie in zones by lot has none in this one with this chance.
         let touched = lists * (1.0 - left.powf(layout.nodes as f64));
-        row("a zone is lost within 1 s, seen by the others", touched, zone_nodes, layout.watchers * left);
-        row("it returns within 1 s", touched, zone_nodes, layout.watchers);
+        row("a zone is lost within 1 s, seen by the others", touched, zone_nodes, left);
+        row("it returns within 1 s", touched, zone_nodes, 1.0);
         let minute = CHANGES / 1440.0 * PEAK;
-        row("a peak minute: changes, in 60 s", minute.min(lists), minute, layout.watchers);
-        row("an ordinary day: 7,700 nodes go and come", lists.min(7_700.0), 2.0 * 7_700.0, layout.watchers);
-        row("all marshals start within 60 s", lists, lists, layout.watchers);
-        row("a region's marshals return after an hour", lists, lists, layout.watchers / REGIONS as f64);
+        row("a peak minute: changes, in 60 s", minute.min(lists), minute, 1.0);
+        row("an ordinary day: 7,700 nodes go and come", 2.0 * 7_700.0, 2.0 * 7_700.0, 1.0);
+        row("all marshals start within 60 s", lists, lists, 1.0);
+        row("a region's marshals return after an hour", lists, lists, 1.0 / REGIONS as f64);
     }
-    table.note(format!("A peak minute has {PEAK:.0} times the mean of a day's {CHANGES:.0} changes. At least: all changes of a list within the span in one answer; at most: one answer each."));
+    table.note(format!("A peak minute has {PEAK:.0} times the mean of a day's {CHANGES:.0} changes. At least: all changes of a list within the span in one answer; at most: one answer each, which no marshal can take where lists are long. To one marshal: at least, to each that it reaches."));
     table.note(format!("The wire takes lists of {} nodes and {} bytes at most: one of {NODES} nodes, {} bytes, is refused whole today.", whole(list::LIST_NODES as f64), whole(list::LIST_BYTES as f64), whole(list::write(&core::nodes(NODES)).len() as f64)));
     table
 }
@@ -198,8 +206,15 @@
     }
     let title = "At list and desk while they are away, and on their return; shipped modules ask the list, one list each";
     let head = [
-        "marshals cut off", "list: questions/s away", "most in 1 s", "on return: most in 0.1 s", "in 1 s",
-        "all told after s", "desk refuses: questions/s away", "return: most in 1 s", "desk silent: questions/s away",
+        "marshals cut off",
+        "list: questions/s away",
+        "most in 1 s",
+        "on return: most in 0.1 s",
+        "in 1 s",
+        "all told after s",
+        "desk refuses: questions/s away",
+        "return: most in 1 s",
+        "desk silent: questions/s away",
         "return: most in 1 s",
     ];
     let mut away = Table::new(title, &head);
@@ -221,7 +236,15 @@
     }
     away.note("A minute away stands for an hour: waits grow to their longest within seconds. The desk's waits are drawn here by the edge's rule; a silent desk costs 1 s of connecting each time.");
     let title = "At list and desk when all marshals start within 60 s";
-    let head = ["who watches", "starts/s", "list: questions/s", "MB/s", "connections to it", "desk: questions/s", "kB/s"];
+    let head = [
+        "who watches",
+        "starts/s",
+        "list: questions/s",
+        "MB/s",
+        "connections to it",
+        "desk: questions/s",
+        "kB/s",
+    ];
     let mut starts = Table::new(title, &head);
     let each = MARSHALS as f64 / 60.0;
     for layout in layouts() {
--- a/crates/measure/src/scale/cold.rs
+++ b/crates/measure/src/scale/cold.rs
@@ -42,9 +42,8 @@
 pub fn cold(modules: usize, cold: usize, times: f64, seed: u64) -> Result<Cold, Error> {
     let mut crowd = Crowd::new(setup(modules, SERVICE, seed))?;
     crowd.run(30 * SECOND);
-    let before = crowd.seen.picks.len();
-    // What a warm node has answered: what it can do lies higher.
-    let capacity = before as f64 / 30.0 / NODES as f64;
+    // The tightest fleet that carries these RPCs: all nodes warm and busy all the time.
+    let capacity = SERVICE * times / NODES as f64;
     crowd.seen = Default::default();
     crowd.rate *= times;
     let from = crowd.now;
@@ -55,7 +54,8 @@
     let span = Duration::from_secs_f64(window);
     let mut worst: f64 = 0.0;
     for node in 0..cold {
-        let sent: Vec<Duration> = crowd.seen.picks.iter().filter(|p| p.2 == node).map(|p| p.0 - from).collect();
+        let sent: Vec<Duration> =
+            crowd.seen.picks.iter().filter(|p| p.2 == node).map(|p| p.0 - from).collect();
         for (i, at) in sent.iter().enumerate() {
             let used = sent[..=i].iter().rev().take_while(|t| **t + span > *at).count() as f64;
             let at = at.as_secs_f64();
@@ -109,8 +109,16 @@
         "Rule 4: one service, {NODES} nodes, {SERVICE:.0} RPCs a second over all marshals; worst window of the worst cold node"
     );
     let head = [
-        "marshals", "1 cold: of the bound", "RPC/s to it", "pushed back", "all cold: of the bound", "RPC/s to each",
-        "pushed back", "12 cold, 4 times the RPCs: of the bound", "RPC/s to each", "pushed back",
+        "marshals",
+        "1 cold: of the bound",
+        "RPC/s to it",
+        "pushed back",
+        "all cold: of the bound",
+        "RPC/s to each",
+        "pushed back",
+        "12 cold, 4 times the RPCs: of the bound",
+        "RPC/s to each",
+        "pushed back",
     ];
     let mut rule4 = Table::new(title, &head);
     let title = "Rule 5: the same service, 2 of 16 nodes with a build on trial, first stage, cap 0.14, 2 free, window 3 s";
@@ -137,7 +145,7 @@
             spread(&of(|e| e.part)),
         ]);
     }
-    rule4.note("The bound: 3 x present capacity x 1 s, with what a warm node answered before as its capacity, and one RPC over it. All of these modules run.");
+    rule4.note("The bound: 3 x present capacity x 1 s, and one RPC over it; capacity: the least with which 16 warm nodes carry the RPCs. All of these modules run.");
     rule5.note("Each by itself: the sum of 2 + 0.14 x its own RPCs over all marshals, what the checker holds each to. As one: 2 + 0.14 x all RPCs.");
     Ok(vec![rule4, rule5])
 }
--- a/crates/measure/src/scale/crowd.rs
+++ b/crates/measure/src/scale/crowd.rs
@@ -98,8 +98,9 @@
     /// What is wrong with the terms.
     pub fn new(setup: Setup) -> Result<Crowd, Error> {
         let base = terms(setup.methods, 0)?.rollout;
-        let module = |marshal: usize| {
-            let mut own = base.clone();
+        let module = |nth: usize| {
+            // Fewer than there are stand for all: their numbers are spread.
+            let (mut own, marshal) = (base.clone(), nth * setup.of / setup.modules);
             (own.marshal, own.marshals, own.zone) = (marshal, setup.of, marshal % ZONES);
             own.seed = marshal as u64 + 1 + (setup.seed << 32);
             own.limits.peers = setup.peers;
--- a/crates/measure/src/scale/evidence.rs
+++ b/crates/measure/src/scale/evidence.rs
@@ -98,7 +98,8 @@
 
 fn by_test(seeds: u64) -> Vec<Table> {
     let title = "RPCs that the shipped test of soundness needs, if none were forgotten; seconds at a tenth of one service's RPCs";
-    let head = ["fails more", "RPCs of the build, half convict", "95% convict", "alone s", "a zone s", "all s"];
+    let head =
+        ["fails more", "RPCs of the build, half convict", "95% convict", "alone s", "a zone s", "all s"];
     let mut whole_record = Table::new(title, &head);
     let title = "Seconds until the shipped test convicts, records halved every 5 s as shipped, of 600; those that never did";
     let head = ["fails more", "alone s", "never", "a zone s", "never", "all s", "never"];
@@ -127,7 +128,11 @@
         halving.row(cells);
     }
     whole_record.note(format!("Soundness: margin {}, confidence {DELTA} x 1/3, {USUAL} fail on either build; {TRIALS} trials each n, searched {seeds} times.", MARGIN[1]));
-    whole_record.note(format!("One marshal sees {:.4} RPCs a second of one service, a zone {:.1}, all {SERVICE:.0}.", SERVICE / MARSHALS as f64, SERVICE / ZONES as f64));
+    whole_record.note(format!(
+        "One marshal sees {:.4} RPCs a second of one service, a zone {:.1}, all {SERVICE:.0}.",
+        SERVICE / MARSHALS as f64,
+        SERVICE / ZONES as f64
+    ));
     halving.note("Pooled without loss or delay; 20 seeds. At a rate r a record holds 5 r to 10 r RPCs and no more, however long it waits.");
     vec![whole_record, halving]
 }
@@ -149,10 +154,13 @@
 ///
 /// # Errors
 /// What is wrong with the terms.
-pub fn trial(modules: usize, rate: f64, worse: f64, methods: usize, span: Duration, seed: u64) -> Result<Trial, Error> {
+pub fn trial(
+    modules: usize, rate: f64, worse: f64, methods: usize, span: Duration, seed: u64,
+) -> Result<Trial, Error> {
     // By default half and a third: at this size more than the desk lets stand, and none would be sent.
-    let votes = [MARSHALS / 10, MARSHALS / 20];
-    let setup = Setup { modules, of: MARSHALS, nodes: 16, methods, rate, peers: modules > 1, votes, seed };
+    let of = if modules == 1 { MARSHALS } else { modules };
+    let votes = [of.div_ceil(10), of.div_ceil(20)];
+    let setup = Setup { modules, of, nodes: 16, methods, rate, peers: modules > 1, votes, seed };
     let mut crowd = Crowd::new(setup)?;
     crowd.fails = [(1, USUAL), (2, USUAL + worse)].into();
     crowd.run(Duration::from_secs(15));
@@ -205,8 +213,16 @@
     let sizes = plan.sizes_or(&[MARSHALS]);
     let title = "Shipped modules, all of them with peers' datagrams as shipped, one service's RPCs over them; 60 s of a trial";
     let head = [
-        "fails more", "marshals", "methods", "first back s", "a twentieth back s", "voted back", "first on s",
-        "voted on", "datagrams/s each", "too long",
+        "fails more",
+        "marshals",
+        "methods",
+        "first back s",
+        "a twentieth back s",
+        "voted back",
+        "first on s",
+        "voted on",
+        "datagrams/s each",
+        "too long",
     ];
     let mut crowd = Table::new(title, &head);
     for size in sizes {
--- a/crates/measure/src/scale/meeting.rs
+++ b/crates/measure/src/scale/meeting.rs
@@ -73,7 +73,8 @@
             }
         }
     }
-    let mean = |value: fn(&(usize, f64, [f64; 2])) -> f64| load.iter().map(value).sum::<f64>() / MARSHALS as f64;
+    let mean =
+        |value: fn(&(usize, f64, [f64; 2])) -> f64| load.iter().map(value).sum::<f64>() / MARSHALS as f64;
     Layout {
         marshals: homes.iter().map(Vec::len).sum::<usize>() as f64 / SERVICES as f64,
         services: mean(|l| l.0 as f64),
@@ -114,10 +115,19 @@
 /// # Errors
 /// What is wrong with the terms.
 pub fn run(plan: &Plan) -> Result<Vec<Table>, Error> {
-    let title = format!("Who meets which service: {MARSHALS} marshals, {SERVICES} services, {RATE:.0} RPCs a second");
+    let title =
+        format!("Who meets which service: {MARSHALS} marshals, {SERVICES} services, {RATE:.0} RPCs a second");
     let head = [
-        "a service's RPCs go", "sizes", "marshals a service", "services a marshal", "the worst", "held, rest 30 s",
-        "held, rest 300 s", "RPCs/s a marshal and service", "seconds between", "RPCs/s of the busiest marshal",
+        "a service's RPCs go",
+        "sizes",
+        "marshals a service",
+        "services a marshal",
+        "the worst",
+        "held, rest 30 s",
+        "held, rest 300 s",
+        "RPCs/s a marshal and service",
+        "seconds between",
+        "RPCs/s of the busiest marshal",
     ];
     let mut who = Table::new(title, &head);
     for (each, alike) in HOMES.into_iter().flat_map(|each| [(each, true), (each, false)]) {
@@ -139,8 +149,13 @@
     who.note("Homes by the highest hash of service and marshal in each zone. 1/n: the nth service in the order of size has one nth of the first's RPCs.");
     let title = "Connections by the nodes that one shipped module picks, kept 30 s idle; a service of 16 nodes, a subset of k known to a marshal";
     let head = [
-        "a service's RPCs go", "k", "RPCs/s a marshal and service", "connections a marshal and service",
-        "of a marshal, all services", "of a node, from all marshals", "new/s at a node",
+        "a service's RPCs go",
+        "k",
+        "RPCs/s a marshal and service",
+        "connections a marshal and service",
+        "of a marshal, all services",
+        "of a node, from all marshals",
+        "new/s at a node",
     ];
     let mut nodes = Table::new(title, &head);
     for (each, k) in HOMES.into_iter().flat_map(|each| [16, 8, 4].map(|k| (each, k))) {
@@ -164,8 +179,16 @@
         ]);
     }
     nodes.note("600 s of virtual time after 600 s. Of a node: the mean over nodes. The shipped program sends no probes to nodes: none are counted.");
-    let title = format!("Today: one list of all nodes at each of {MARSHALS} marshals, {EACH:.0} RPCs a second each");
-    let head = ["nodes", "connections of a marshal", "of a node, mean", "the worst node", "nodes without any", "new/s at a node"];
+    let title =
+        format!("Today: one list of all nodes at each of {MARSHALS} marshals, {EACH:.0} RPCs a second each");
+    let head = [
+        "nodes",
+        "connections of a marshal",
+        "of a node, mean",
+        "the worst node",
+        "nodes without any",
+        "new/s at a node",
+    ];
     let mut today = Table::new(title, &head);
     for size in plan.sizes_or(&[300, 3_000, NODES]) {
         let [held, fresh] = connections(size, EACH, 40, 1)?;
--- a/crates/measure/src/scale/methods.rs
+++ b/crates/measure/src/scale/methods.rs
@@ -61,10 +61,17 @@
         return Ok(vec![]);
     }
     let head = [
-        "methods", "ticks % of a core", "RPC us", "MiB, 100 seen", "MiB, all seen", "kB a method unseen",
-        "kB a method more once seen", "terms read ms",
+        "methods",
+        "ticks % of a core",
+        "RPC us",
+        "MiB, 100 seen",
+        "MiB, all seen",
+        "kB a method unseen",
+        "kB a method more once seen",
+        "terms read ms",
     ];
-    let title = format!("One core with its module, {NODES} nodes, {EACH:.0} RPCs a second, by methods in its terms");
+    let title =
+        format!("One core with its module, {NODES} nodes, {EACH:.0} RPCs a second, by methods in its terms");
     let mut table = Table::new(title, &head);
     let mut before: Option<(usize, Runs)> = None;
     for size in sizes {
--- a/crates/measure/src/scale/mod.rs
+++ b/crates/measure/src/scale/mod.rs
@@ -51,13 +51,21 @@
     Subject { name: "methods", about: "the same by methods in its terms", run: methods::run },
     Subject { name: "tenants", about: "reading terms and finding a tenant, by tenants", run: tenants::run },
     Subject { name: "services", about: "one core a service, many in one process", run: services::run },
-    Subject { name: "evidence", about: "how long a verdict takes, alone, by zone, by all", run: evidence::run },
+    Subject {
+        name: "evidence",
+        about: "how long a verdict takes, alone, by zone, by all",
+        run: evidence::run,
+    },
     Subject {
         name: "meeting",
         about: "who meets which service, and the connections of a node",
         run: meeting::run,
     },
-    Subject { name: "bursts", about: "a zone lost, all restarted, a peak minute, regions apart", run: bursts::run },
+    Subject {
+        name: "bursts",
+        about: "a zone lost, all restarted, a peak minute, regions apart",
+        run: bursts::run,
+    },
     Subject { name: "cold", about: "cold budgets and caps divided over ever more marshals", run: cold::run },
 ];
 
--- a/crates/measure/src/scale/services.rs
+++ b/crates/measure/src/scale/services.rs
@@ -77,8 +77,14 @@
         return Ok(vec![]);
     }
     let head = [
-        "services", "kB each, listed", "kB each, in use", "MiB of all", "ticks/s each at rest",
-        "ticks of all at rest, % of a core", "in use, % of a core", "RPC us",
+        "services",
+        "kB each, listed",
+        "kB each, in use",
+        "MiB of all",
+        "ticks/s each at rest",
+        "ticks of all at rest, % of a core",
+        "in use, % of a core",
+        "RPC us",
     ];
     let title = format!(
         "One core a service in one process, {NODES} nodes and {METHODS} methods each, {EACH:.0} RPCs a second over all"
--- a/crates/measure/src/scale/table.rs
+++ b/crates/measure/src/scale/table.rs
@@ -43,11 +43,11 @@
         let width = |column: usize| {
             lines.iter().filter_map(|l| l.get(column)).map(|c| c.chars().count()).max().unwrap_or(0)
         };
+        let names = self.rows.iter().filter_map(|r| r.first()).any(|cell| number(cell).is_none());
         for line in &lines {
             let cells = line.iter().enumerate().map(|(i, cell)| {
-                let text = i == 0 && number(cell).is_none();
                 let wide = width(i);
-                if text {
+                if i == 0 && names {
                     format!("{cell:<wide$}")
                 } else {
                     format!("{cell:>wide$}")
--- a/crates/measure/src/scale/tenants.rs
+++ b/crates/measure/src/scale/tenants.rs
@@ -55,8 +55,16 @@
         return Ok(vec![]);
     }
     let head = [
-        "tenants", "file bytes", "read s", "MiB peak", "MiB kept", "MiB with a core", "RPC us, no tenant",
-        "the first", "the last", "an invented one",
+        "tenants",
+        "file bytes",
+        "read s",
+        "MiB peak",
+        "MiB kept",
+        "MiB with a core",
+        "RPC us, no tenant",
+        "the first",
+        "the last",
+        "an invented one",
     ];
     let mut table = Table::new("Reading terms, and an RPC's cost, by tenants in the terms", &head);
     for size in sizes {
