--- a/crates/measure/src/scale/cold.rs
+++ b/crates/measure/src/scale/cold.rs
@@ -5,7 +5,7 @@
 
 use ivydrift_policy::port::*;
 
-use super::crowd::{most_within, stage, Crowd, Setup};
+use super::crowd::{most_within, present, stage, Crowd, Setup, COLD};
 use super::table::{short, spread, whole};
 use super::{Error, Plan, Table, MARSHALS, RATE, SERVICES};
 
@@ -14,8 +14,6 @@
 pub const SERVICE: f64 = RATE / SERVICES as f64;
 const SECOND: Duration = Duration::from_secs(1);
 
-/// The figures of rule 4 by default: capacity at the start, seconds until warm, multiple, window in seconds.
-const COLD: [f64; 4] = [0.4, 5.0, 3.0, 1.0];
 /// Those of rule 5: the first cap, RPCs free, window in seconds.
 const CAP: [f64; 3] = [0.14, 2.0, 3.0];
 
@@ -41,16 +39,16 @@
 /// What is wrong with the terms.
 pub fn cold(modules: usize, cold: usize, times: f64, seed: u64) -> Result<Cold, Error> {
     let mut crowd = Crowd::new(setup(modules, SERVICE, seed))?;
+    // Warm nodes are busy half of the time.
+    let capacity = 2.0 * SERVICE / NODES as f64;
+    crowd.capacity = Some(capacity);
     crowd.run(30 * SECOND);
-    // The tightest fleet that carries these RPCs: all nodes warm and busy all the time.
-    let capacity = SERVICE * times / NODES as f64;
     crowd.seen = Default::default();
     crowd.rate *= times;
     let from = crowd.now;
     crowd.restart(0..cold, 1);
     crowd.run(6 * SECOND);
-    let [least, warm, multiple, window] = COLD;
-    let present = |t: f64| least + (1.0 - least) * (t / warm).clamp(0.0, 1.0);
+    let [.., multiple, window] = COLD;
     let span = Duration::from_secs_f64(window);
     let mut worst: f64 = 0.0;
     for node in 0..cold {
@@ -145,7 +143,7 @@
             spread(&of(|e| e.part)),
         ]);
     }
-    rule4.note("The bound: 3 x present capacity x 1 s, and one RPC over it; capacity: the least with which 16 warm nodes carry the RPCs. All of these modules run.");
+    rule4.note("The bound: 3 x present capacity x 1 s, and one RPC over it; capacity: twice what comes, so 4 times the RPCs are twice what warm nodes can do. Nodes work one RPC after the other; picks time out. All of these modules run.");
     rule5.note("Each by itself: the sum of 2 + 0.14 x its own RPCs over all marshals, what the checker holds each to. As one: 2 + 0.14 x all RPCs.");
     Ok(vec![rule4, rule5])
 }
--- a/crates/measure/src/scale/crowd.rs
+++ b/crates/measure/src/scale/crowd.rs
@@ -32,7 +32,7 @@
 
 enum Ev {
     Rpc,
-    Ended { module: usize, rpc: RpcIx, pick: usize, node: NodeIx },
+    Ended { module: usize, rpc: RpcIx, pick: usize, node: NodeIx, took: Duration, late: bool },
     Wake { module: usize, tag: u64 },
     Peer { to: usize, from: usize, text: Vec<u8> },
 }
@@ -66,12 +66,22 @@
     pub pushed_back: Vec<Duration>,
     pub aborted: u64,
     pub votes: Vec<(Duration, usize, Verdict)>,
+    /// Picks that ended, and those that did not end ok, by build.
+    pub ended: HashMap<Build, [u32; 2]>,
     /// Questions to the node list.
     pub asks: Vec<Duration>,
     /// Datagrams to peers, their bytes, and those too long for one.
     pub told: [u64; 3],
 }
 
+/// The figures of rule 4 by default: capacity at the start, seconds until warm, multiple, window in seconds.
+pub const COLD: [f64; 4] = [0.4, 5.0, 3.0, 1.0];
+
+/// The part of its capacity that a node has so many seconds after its start.
+pub fn present(age: f64) -> f64 {
+    COLD[0] + (1.0 - COLD[0]) * (age / COLD[1]).clamp(0.0, 1.0)
+}
+
 pub struct Crowd {
     pub now: Duration,
     pub seen: Seen,
@@ -81,6 +91,10 @@
     /// The node list answers.
     pub list_up: bool,
     pub rate: f64,
+    /// RPCs a second that a warm node does, one after the other; none: as many as come.
+    pub capacity: Option<f64>,
+    /// When each node is through with what it has.
+    busy: Vec<Duration>,
     setup: Setup,
     modules: Vec<Marshal>,
     queue: BinaryHeap<Reverse<Held>>,
@@ -125,6 +139,8 @@
             fails: HashMap::new(),
             list_up: true,
             rate: setup.rate,
+            capacity: None,
+            busy: vec![Duration::ZERO; setup.nodes],
             modules: (0..setup.modules).map(module).collect(),
             queue: BinaryHeap::new(),
             seq: 0,
@@ -156,7 +172,17 @@
         Duration::from_secs_f64((-part.ln() / self.rate).min(1e9))
     }
 
-    /// The same to all modules, within this span of one another.
+    /// How long a node takes from now for one more RPC. What is given up stays in its queue.
+    fn answer(&mut self, node: NodeIx) -> Duration {
+        let way = Duration::from_secs_f64(self.dice.random_range(WORK_MS) / 1000.0);
+        let Some(capacity) = self.capacity else { return way };
+        let age = self.entries[node].started.map_or(f64::MAX, |at| (self.now - at).as_secs_f64());
+        let work = Duration::from_secs_f64(1.0 / (capacity * present(age)));
+        self.busy[node] = self.busy[node].max(self.now) + work;
+        way + self.busy[node] - self.now
+    }
+
+    /// The same to all modules at once.
     pub fn tell_all(&mut self, event: &Event) {
         (0..self.modules.len()).for_each(|module| self.tell(module, vec![event.clone()]));
     }
@@ -172,13 +198,14 @@
     fn tell(&mut self, module: usize, events: Vec<Event>) {
         for action in self.modules[module].handle(self.now, events) {
             match action {
-                Action::Pick { rpc, node, .. } => {
+                Action::Pick { rpc, node, within } => {
                     let Some(picks) = self.hands.get_mut(&(module, rpc)) else { continue };
                     let pick = *picks;
                     *picks += 1;
                     self.seen.picks.push((self.now, module, node, self.entries[node].build));
-                    let work = Duration::from_secs_f64(self.dice.random_range(WORK_MS) / 1000.0);
-                    self.put(self.now + work, Ev::Ended { module, rpc, pick, node });
+                    let answer = self.answer(node);
+                    let (took, late) = (answer.min(within), answer > within);
+                    self.put(self.now + took, Ev::Ended { module, rpc, pick, node, took, late });
                 }
                 Action::PushBack { rpc, .. } => {
                     self.hands.remove(&(module, rpc));
@@ -229,14 +256,20 @@
                     let next = self.now + self.gap();
                     self.put(next, Ev::Rpc);
                 }
-                Ev::Ended { module, rpc, pick, node } => {
+                Ev::Ended { module, rpc, pick, node, took, late } => {
                     let part = self.fails.get(&self.entries[node].build).copied().unwrap_or(0.0);
                     let failed = part > 0.0 && self.dice.random_range(0.0..1.0) < part;
-                    let outcome = if failed { Outcome::Error } else { Outcome::Ok };
+                    let outcome = match (late, failed) {
+                        (true, _) => Outcome::Timeout,
+                        (_, true) => Outcome::Error,
+                        _ => Outcome::Ok,
+                    };
+                    let failed = failed || late;
+                    let ended = self.seen.ended.entry(self.entries[node].build).or_default();
+                    *ended = [ended[0] + 1, ended[1] + u32::from(failed)];
                     if !failed && self.hands.remove(&(module, rpc)).is_some() {
                         self.seen.ok += 1;
                     }
-                    let took = Duration::from_millis(6);
                     let (done, load) = (!failed, Load::default());
                     let ended = Event::PickEnded { rpc, pick, node, outcome, took, done, load };
                     self.tell(module, vec![ended]);
--- a/crates/measure/src/scale/evidence.rs
+++ b/crates/measure/src/scale/evidence.rs
@@ -150,13 +150,27 @@
     pub told: [f64; 2],
 }
 
+/// A trial as it is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Play {
+    pub modules: usize,
+    /// RPCs a second of all modules.
+    pub rate: f64,
+    pub worse: f64,
+    pub methods: usize,
+    /// The desk tells its counts of all picks once a second.
+    pub sums: bool,
+    pub seed: u64,
+}
+
+const SPAN: u32 = 60;
+
 /// Two of sixteen nodes get a build that fails more; votes are as many as can stand at the desk.
 ///
 /// # Errors
 /// What is wrong with the terms.
-pub fn trial(
-    modules: usize, rate: f64, worse: f64, methods: usize, span: Duration, seed: u64,
-) -> Result<Trial, Error> {
+pub fn trial(play: Play) -> Result<Trial, Error> {
+    let Play { modules, rate, worse, methods, sums, seed } = play;
     // By default half and a third: at this size more than the desk lets stand, and none would be sent.
     let of = if modules == 1 { MARSHALS } else { modules };
     let votes = [of.div_ceil(10), of.div_ceil(20)];
@@ -168,7 +182,15 @@
     crowd.restart(0..2, 2);
     crowd.seen = Default::default();
     let from = crowd.now;
-    crowd.run(span);
+    for _ in 0..SPAN {
+        crowd.run(Duration::from_secs(1));
+        for (build, [picks, failed]) in std::mem::take(&mut crowd.seen.ended) {
+            let (mean, age) = (Duration::from_millis(6), Duration::from_millis(500));
+            if sums {
+                crowd.tell_all(&Event::Sums { build, method: 0, picks, failed, mean, age });
+            }
+        }
+    }
     let (mut first, mut voted) = ([const { Vec::new() }; 2], [vec![false; modules], vec![false; modules]]);
     for (at, module, verdict) in &crowd.seen.votes {
         let which = match verdict {
@@ -181,7 +203,7 @@
         }
     }
     let [told, _, long] = crowd.seen.told;
-    let seconds = span.as_secs_f64() * modules as f64;
+    let seconds = f64::from(SPAN) * modules as f64;
     Ok(Trial {
         back: first[1].first().copied(),
         enough: first[1].get((modules / 20).max(1) - 1).copied(),
@@ -198,9 +220,8 @@
     for worse in WORSE {
         for (name, members) in GROUPS {
             let rate = SERVICE * members as f64 / MARSHALS as f64;
-            let runs: Vec<Trial> = (0..9)
-                .map(|seed| trial(1, rate, worse, 5, Duration::from_secs(60), seed + 1))
-                .collect::<Result<_, _>>()?;
+            let play = |seed| Play { modules: 1, rate, worse, methods: 5, sums: false, seed };
+            let runs: Vec<Trial> = (1..10).map(|seed| trial(play(seed))).collect::<Result<_, _>>()?;
             let mut cells = vec![format!("{:.0}%, {name}", worse * 100.0), short(rate)];
             for which in [|t: &Trial| t.back, |t: &Trial| t.on] {
                 let found: Vec<f64> = runs.iter().filter_map(which).collect();
@@ -210,12 +231,13 @@
         }
     }
     pooled.note("Nine seeds; the build's nodes start as the trial begins. Alone nothing convicts; a vote on needs time, not evidence.");
-    let sizes = plan.sizes_or(&[MARSHALS]);
-    let title = "Shipped modules, all of them with peers' datagrams as shipped, one service's RPCs over them; 60 s of a trial";
+    let sizes = plan.sizes_or(&[ZONES, 4 * ZONES, MARSHALS / ZONES, MARSHALS]);
+    let title = "Shipped modules with peers' datagrams as shipped, all RPCs of one service over so many of them; 60 s of a trial";
     let head = [
         "fails more",
         "marshals",
         "methods",
+        "desk's sums",
         "first back s",
         "a twentieth back s",
         "voted back",
@@ -225,15 +247,16 @@
         "too long",
     ];
     let mut crowd = Table::new(title, &head);
-    for size in sizes {
-        for (worse, methods) in [(0.02, 5), (0.05, 5), (0.2, 5), (0.5, 5), (0.5, 20)] {
-            let rate = SERVICE * size as f64 / MARSHALS as f64;
-            let t = trial(size, rate, worse, methods, Duration::from_secs(60), 1)?;
+    for modules in sizes {
+        let plays = WORSE.map(|worse| (worse, 5, false)).into_iter().chain([(0.5, 20, false)]);
+        for (worse, methods, sums) in plays.chain(WORSE.map(|worse| (worse, 5, true))) {
+            let t = trial(Play { modules, rate: SERVICE, worse, methods, sums, seed: 1 })?;
             let time = |t: Option<f64>| t.map_or("never".into(), short);
             crowd.row([
                 format!("{:.0}%", worse * 100.0),
-                whole(size as f64),
+                whole(modules as f64),
                 methods.to_string(),
+                if sums { "told" } else { "none" }.to_owned(),
                 time(t.back),
                 time(t.enough),
                 whole(t.voted[1] as f64),
@@ -244,7 +267,7 @@
             ]);
         }
     }
-    crowd.note("One run each. A datagram of the policy holds 256 bytes, the counts of 14 methods: with more none is sent, and nothing says so.");
+    crowd.note("One run each. A datagram of the policy holds 256 bytes, the counts of 14 methods: with more none is sent, and nothing says so. The desk's sums: of all picks, each second.");
     Ok(vec![pooled, crowd])
 }
 
--- a/crates/measure/src/scale/table.rs
+++ b/crates/measure/src/scale/table.rs
@@ -95,7 +95,8 @@
         [] => "-".to_owned(),
         [one] => short(one),
         [least, .., most] => {
-            format!("{} ({} to {})", short(sorted[sorted.len() / 2]), short(least), short(most))
+            let (low, high) = (sorted[(sorted.len() - 1) / 2], sorted[sorted.len() / 2]);
+            format!("{} ({} to {})", short((low + high) / 2.0), short(least), short(most))
         }
     }
 }
