--- /dev/null
+++ b/crates/measure/src/scale/crowd.rs
@@ -0,0 +1,299 @@
+//! Many shipped modules of one service in virtual time, as their marshals would drive them: RPCs at random marshals,
+//! nodes that answer after some milliseconds, peers' datagrams that take one.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+use ivydrift_policy::port::*;
+use ivydrift_policy::Marshal;
+use ivydrift_wire::peer::TEXT_BYTES;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::core::{terms, START, WORK_MS};
+use super::{Error, ZONES};
+
+/// What a crowd is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    /// Modules that run, and how many marshals their terms name.
+    pub modules: usize,
+    pub of: usize,
+    pub nodes: usize,
+    pub methods: usize,
+    /// RPCs a second of all modules together.
+    pub rate: f64,
+    pub peers: bool,
+    /// Votes that move a build on and send it back.
+    pub votes: [usize; 2],
+    pub seed: u64,
+}
+
+enum Ev {
+    Rpc,
+    Ended { module: usize, rpc: RpcIx, pick: usize, node: NodeIx, took: Duration, late: bool },
+    Wake { module: usize, tag: u64 },
+    Peer { to: usize, from: usize, text: Vec<u8> },
+}
+
+struct Held(Duration, u64, Ev);
+
+impl PartialEq for Held {
+    fn eq(&self, other: &Held) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Held {}
+impl PartialOrd for Held {
+    fn partial_cmp(&self, other: &Held) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Held {
+    fn cmp(&self, other: &Held) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// What was seen of all modules, in the order of time.
+#[derive(Default)]
+pub struct Seen {
+    pub rpcs: Vec<Duration>,
+    /// Each pick: when, by which module, at which node, of which build.
+    pub picks: Vec<(Duration, usize, NodeIx, Build)>,
+    pub ok: u64,
+    pub pushed_back: Vec<Duration>,
+    pub aborted: u64,
+    pub votes: Vec<(Duration, usize, Verdict)>,
+    /// Picks that ended, and those that did not end ok, by build.
+    pub ended: HashMap<Build, [u32; 2]>,
+    /// Questions to the node list.
+    pub asks: Vec<Duration>,
+    /// Datagrams to peers, their bytes, and those too long for one.
+    pub told: [u64; 3],
+}
+
+/// The figures of rule 4 by default: capacity at the start, seconds until warm, multiple, window in seconds.
+pub const COLD: [f64; 4] = [0.4, 5.0, 3.0, 1.0];
+
+/// The part of its capacity that a node has so many seconds after its start.
+pub fn present(age: f64) -> f64 {
+    COLD[0] + (1.0 - COLD[0]) * (age / COLD[1]).clamp(0.0, 1.0)
+}
+
+pub struct Crowd {
+    pub now: Duration,
+    pub seen: Seen,
+    pub entries: Vec<NodeEntry>,
+    /// The part of RPCs that fails, by build.
+    pub fails: HashMap<Build, f64>,
+    /// The node list answers.
+    pub list_up: bool,
+    pub rate: f64,
+    /// RPCs a second that a warm node does, one after the other; none: as many as come.
+    pub capacity: Option<f64>,
+    /// When each node is through with what it has.
+    busy: Vec<Duration>,
+    setup: Setup,
+    modules: Vec<Marshal>,
+    queue: BinaryHeap<Reverse<Held>>,
+    seq: u64,
+    /// Picks of the RPCs in hand.
+    hands: HashMap<(usize, RpcIx), usize>,
+    next: RpcIx,
+    dice: StdRng,
+}
+
+impl Crowd {
+    /// All nodes run build 1, which is out, and have run it for long.
+    ///
+    /// # Errors
+    /// What is wrong with the terms.
+    pub fn new(setup: Setup) -> Result<Crowd, Error> {
+        let base = terms(setup.methods, 0)?.rollout;
+        let module = |nth: usize| {
+            // Fewer than there are stand for all: their numbers are spread.
+            let (mut own, marshal) = (base.clone(), nth * setup.of / setup.modules);
+            (own.marshal, own.marshals, own.zone) = (marshal, setup.of, marshal % ZONES);
+            own.seed = marshal as u64 + 1 + (setup.seed << 32);
+            own.limits.peers = setup.peers;
+            [own.release.on_votes, own.release.back_votes] = setup.votes;
+            Marshal::new(&own)
+        };
+        let entry = |node| NodeEntry {
+            node,
+            name: node as u64,
+            kind: 0,
+            power: 1.0,
+            cell: 0,
+            zone: node % ZONES,
+            readiness: Readiness::Ready,
+            started: None,
+            build: 1,
+        };
+        let mut crowd = Crowd {
+            now: START,
+            seen: Seen::default(),
+            entries: (0..setup.nodes).map(entry).collect(),
+            fails: HashMap::new(),
+            list_up: true,
+            rate: setup.rate,
+            capacity: None,
+            busy: vec![Duration::ZERO; setup.nodes],
+            modules: (0..setup.modules).map(module).collect(),
+            queue: BinaryHeap::new(),
+            seq: 0,
+            hands: HashMap::new(),
+            next: 0,
+            dice: StdRng::seed_from_u64(setup.seed),
+            setup,
+        };
+        let whole = Event::Nodes { scope: Scope::Full, nodes: crowd.entries.clone() };
+        let out = stage(1, 2, Course::Released, 1.0, Duration::from_secs(90));
+        // Each begins at its own time of a beat.
+        for module in 0..setup.modules {
+            crowd.now = START + Duration::from_micros(crowd.dice.random_range(0..100_000));
+            crowd.tell(module, vec![out.clone(), whole.clone()]);
+        }
+        crowd.now = START + Duration::from_millis(100);
+        let first = crowd.now + crowd.gap();
+        crowd.put(first, Ev::Rpc);
+        Ok(crowd)
+    }
+
+    fn put(&mut self, at: Duration, ev: Ev) {
+        self.seq += 1;
+        self.queue.push(Reverse(Held(at, self.seq, ev)));
+    }
+
+    fn gap(&mut self) -> Duration {
+        let part: f64 = self.dice.random_range(1e-12..1.0);
+        Duration::from_secs_f64((-part.ln() / self.rate).min(1e9))
+    }
+
+    /// How long a node takes from now for one more RPC. What is given up stays in its queue.
+    fn answer(&mut self, node: NodeIx) -> Duration {
+        let way = Duration::from_secs_f64(self.dice.random_range(WORK_MS) / 1000.0);
+        let Some(capacity) = self.capacity else { return way };
+        let age = self.entries[node].started.map_or(f64::MAX, |at| (self.now - at).as_secs_f64());
+        let work = Duration::from_secs_f64(1.0 / (capacity * present(age)));
+        self.busy[node] = self.busy[node].max(self.now) + work;
+        way + self.busy[node] - self.now
+    }
+
+    /// The same to all modules at once.
+    pub fn tell_all(&mut self, event: &Event) {
+        (0..self.modules.len()).for_each(|module| self.tell(module, vec![event.clone()]));
+    }
+
+    /// These nodes start again now, with this build.
+    pub fn restart(&mut self, nodes: std::ops::Range<NodeIx>, build: Build) {
+        let now = self.now;
+        self.entries[nodes.clone()].iter_mut().for_each(|e| (e.started, e.build) = (Some(now), build));
+        let nodes = self.entries[nodes].to_vec();
+        self.tell_all(&Event::Nodes { scope: Scope::Delta, nodes });
+    }
+
+    fn tell(&mut self, module: usize, events: Vec<Event>) {
+        for action in self.modules[module].handle(self.now, events) {
+            match action {
+                Action::Pick { rpc, node, within } => {
+                    let Some(picks) = self.hands.get_mut(&(module, rpc)) else { continue };
+                    let pick = *picks;
+                    *picks += 1;
+                    self.seen.picks.push((self.now, module, node, self.entries[node].build));
+                    let answer = self.answer(node);
+                    let (took, late) = (answer.min(within), answer > within);
+                    self.put(self.now + took, Ev::Ended { module, rpc, pick, node, took, late });
+                }
+                Action::PushBack { rpc, .. } => {
+                    self.hands.remove(&(module, rpc));
+                    self.seen.pushed_back.push(self.now);
+                }
+                Action::Abort { rpc } => {
+                    self.hands.remove(&(module, rpc));
+                    self.seen.aborted += 1;
+                }
+                Action::Wake { after, tag } => self.put(self.now + after, Ev::Wake { module, tag }),
+                Action::Tell { to, text } => {
+                    self.seen.told[0] += 1;
+                    self.seen.told[1] += text.len() as u64;
+                    // What is too long is never sent: `wire::peer::write` says none.
+                    if text.len() > TEXT_BYTES {
+                        self.seen.told[2] += 1;
+                    } else if let Some(to) = to.filter(|to| *to < self.modules.len()) {
+                        let at = self.now + Duration::from_millis(1);
+                        self.put(at, Ev::Peer { to, from: module, text });
+                    }
+                }
+                Action::Vote { verdict, .. } => self.seen.votes.push((self.now, module, verdict)),
+                Action::Subscribe(true) | Action::FetchList => {
+                    self.seen.asks.push(self.now);
+                    let scope = if self.list_up { Scope::Delta } else { Scope::Failed };
+                    self.tell(module, vec![Event::Nodes { scope, nodes: vec![] }]);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.queue.peek().is_some_and(|h| h.0 .0 <= end) {
+            let Some(Reverse(Held(at, _, ev))) = self.queue.pop() else { break };
+            self.now = self.now.max(at);
+            match ev {
+                Ev::Rpc => {
+                    let module = self.dice.random_range(0..self.modules.len());
+                    let method = self.dice.random_range(0..self.setup.methods);
+                    self.next = self.next.wrapping_add(1);
+                    let (rpc, left) = (self.next, Duration::from_secs(3));
+                    self.hands.insert((module, rpc), 0);
+                    self.seen.rpcs.push(self.now);
+                    let (tenant, key, work, repeated) = (None, None, None, false);
+                    self.tell(module, vec![Event::Rpc { rpc, method, tenant, key, left, work, repeated }]);
+                    let next = self.now + self.gap();
+                    self.put(next, Ev::Rpc);
+                }
+                Ev::Ended { module, rpc, pick, node, took, late } => {
+                    let part = self.fails.get(&self.entries[node].build).copied().unwrap_or(0.0);
+                    let failed = part > 0.0 && self.dice.random_range(0.0..1.0) < part;
+                    let outcome = match (late, failed) {
+                        (true, _) => Outcome::Timeout,
+                        (_, true) => Outcome::Error,
+                        _ => Outcome::Ok,
+                    };
+                    let failed = failed || late;
+                    let ended = self.seen.ended.entry(self.entries[node].build).or_default();
+                    *ended = [ended[0] + 1, ended[1] + u32::from(failed)];
+                    if !failed && self.hands.remove(&(module, rpc)).is_some() {
+                        self.seen.ok += 1;
+                    }
+                    let (done, load) = (!failed, Load::default());
+                    let ended = Event::PickEnded { rpc, pick, node, outcome, took, done, load };
+                    self.tell(module, vec![ended]);
+                }
+                Ev::Wake { module, tag } => self.tell(module, vec![Event::Timer { tag }]),
+                Ev::Peer { to, from, text } => self.tell(to, vec![Event::Peer { from, text }]),
+            }
+        }
+        self.now = end;
+    }
+}
+
+pub fn stage(build: Build, stage: usize, course: Course, cap: f64, age: Duration) -> Event {
+    Event::Stage { build, stage, course, reply: VoteReply::Unasked, cap, age }
+}
+
+/// The most events of sorted times within one span.
+pub fn most_within(times: &[Duration], span: Duration) -> usize {
+    let mut first = 0;
+    let counts = times.iter().enumerate().map(|(i, at)| {
+        while times[first] + span <= *at {
+            first += 1;
+        }
+        i + 1 - first
+    });
+    counts.max().unwrap_or(0)
+}
