--- /dev/null
+++ b/crates/measure/src/scale/hollow.rs
@@ -0,0 +1,202 @@
+//! Hollow marshals by their number: the shipped core with its memory, timers and datagrams, many in one process on links in
+//! virtual time. What control costs each of them: questions to list and desk, votes, peers, ticks.
+
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use super::part::{cpu, memory};
+use super::table::{short, whole};
+use super::{Error, Plan, Table, MARSHALS, RATE};
+use host::Counts;
+use script::Script;
+use world::World;
+
+pub mod host;
+pub mod script;
+pub mod world;
+
+const SIZES: [usize; 3] = [50, 200, 1000];
+/// Nodes of one service at the size that is looked at.
+pub const SERVICE: usize = 16;
+/// What a marshal may spend on control: bytes of memory, part of a core, bytes a second.
+pub const BUDGET: (f64, f64, f64) = (64e6, 0.027, 22_000.0);
+/// Heads of IP and UDP.
+const HEADS: u64 = 28;
+/// Lists of this many nodes, for the second form, and the marshals that share one.
+const LISTS: [usize; 3] = [16, 20_000, 44_000];
+const FEW: usize = 10;
+/// Changes of the list a second at 44,000 nodes: 7,910 of them restart, are replaced or fail in a day, each twice seen.
+const CHANGES: f64 = 2.0 * 7910.0 / 86_400.0;
+/// Each of the three stretches that are measured.
+const STRETCH: Duration = Duration::from_secs(20);
+const NAMES: [&str; 3] = ["no RPCs", "95 RPCs a second each", "95 RPCs a second each, a build on trial"];
+
+/// How long the marshals are given to find one another: about as long as nine tenths of all pairs need.
+fn settle(marshals: usize) -> Duration {
+    Duration::from_secs((10 + marshals as u64 / 12).min(120))
+}
+
+/// Bytes a second that control takes, both ways, with the heads of datagrams.
+pub fn control_bytes(counts: &Counts) -> u64 {
+    let peers = counts.sent.plus(counts.heard);
+    peers.bytes + HEADS * peers.count + counts.list.bytes + counts.desk.bytes + counts.votes.bytes
+}
+
+/// What the core took for control.
+pub fn control_time(counts: &Counts) -> Duration {
+    [counts.ticks, counts.heard, counts.list, counts.desk, counts.votes].iter().map(|d| d.took).sum()
+}
+
+/// One stretch's figures, for each marshal and second.
+fn figures(counts: &Counts, world: &World, took: Duration) -> Value {
+    let all = world.live().max(1) as f64 * STRETCH.as_secs_f64();
+    let bytes = |n: u64| n as f64 / all;
+    let ms = |took: Duration| took.as_secs_f64() * 1000.0 / all;
+    json!({
+        "sent": bytes(counts.sent.bytes), "heard": bytes(counts.heard.bytes),
+        "datagrams": bytes(counts.sent.count + counts.heard.count), "list": bytes(counts.list.bytes),
+        "desk": bytes(counts.desk.bytes), "votes": bytes(counts.votes.bytes),
+        "control": bytes(control_bytes(counts)), "ticks_ms": ms(counts.ticks.took), "peers_ms": ms(counts.heard.took),
+        "list_ms": ms(counts.list.took), "desk_ms": ms(counts.desk.took + counts.votes.took),
+        "control_ms": ms(control_time(counts)), "rpc_us": counts.rpcs.took.as_secs_f64() * 1e6
+            / counts.rpcs.count.max(1) as f64, "ok": counts.ok as f64 / counts.rpcs.count.max(1) as f64,
+        "refused": counts.refused, "all_ms": ms(took),
+    })
+}
+
+/// So many marshals, and their list; the three stretches one after the other, and the memory of each.
+fn part(marshals: usize, nodes: usize) -> Result<Value, Error> {
+    let mut script = Script::new(marshals, nodes);
+    script.rate = RATE / MARSHALS as f64;
+    (script.rpcs_from, script.trial) = (settle(marshals) + STRETCH, settle(marshals) + 2 * STRETCH);
+    if nodes > SERVICE {
+        script.turn = Duration::from_secs_f64(44_000.0 / nodes as f64 / CHANGES);
+        script.beyond = nodes > ivydrift_wire::list::LIST_NODES;
+    }
+    let list = ivydrift_wire::list::write(&script.nodes).len();
+    let starts: Vec<Duration> = (0..marshals).map(|n| Duration::from_secs(2) * n as u32 / marshals as u32).collect();
+    let threads = if marshals < 500 { 1 } else { 4 };
+    let clean = memory()?.now;
+    let mut world = World::new(script, &starts, threads);
+    world.run(settle(marshals))?;
+    let pairs = (marshals * (marshals - 1)).max(1) as f64;
+    eprintln!("{marshals} marshals: {:.3} of all pairs found", world.pairs() as f64 / pairs);
+    let begun = world.counts();
+    let mut stretches = vec![];
+    for name in NAMES {
+        let (before, from) = (world.counts(), cpu());
+        world.run(STRETCH)?;
+        let one = figures(&world.counts().since(&before), &world, cpu() - from);
+        eprintln!("{marshals} marshals, {name}: {one}");
+        stretches.push(one);
+    }
+    let settled = begun.sent.plus(begun.heard);
+    let each = settled.bytes as f64 / marshals as f64 / settle(marshals).as_secs_f64();
+    Ok(json!({
+        "stretches": stretches, "memory": (memory()?.now - clean) / marshals as f64, "list_bytes": list,
+        "found": world.pairs() as f64 / pairs, "settling": each, "ready": world.least_ready(),
+    }))
+}
+
+/// A run in a process of its own.
+fn alone(marshals: usize, nodes: usize) -> Result<Value, Error> {
+    let sizes = format!("{marshals},{nodes}");
+    let mut part = std::process::Command::new(std::env::current_exe()?);
+    part.args(["scale", "hollow", "--sizes", &sizes, "--part"]).stderr(std::process::Stdio::inherit());
+    let out = part.output()?;
+    if !out.status.success() {
+        return Err(format!("{marshals} hollow marshals with {nodes} nodes: {}", out.status).into());
+    }
+    Ok(serde_json::from_slice(&out.stdout)?)
+}
+
+const HEAD: [&str; 15] = [
+    "pairs found",
+    "peers sent, B/s",
+    "heard, B/s",
+    "datagrams/s",
+    "list, B/s",
+    "desk and votes, B/s",
+    "control, B/s",
+    "of 22 kB/s",
+    "ticks, ms/s",
+    "peers, ms/s",
+    "list and desk, ms/s",
+    "control, % of a core",
+    "with the simulator, %",
+    "RPC, us",
+    "memory, kB",
+];
+
+fn row(size: usize, run: &Value, stretch: usize) -> Vec<String> {
+    let one = &run["stretches"][stretch];
+    let n = |name: &str| one[name].as_f64().unwrap_or(f64::NAN);
+    let found = run["found"].as_f64().unwrap_or(f64::NAN);
+    vec![
+        whole(size as f64),
+        format!("{found:.3}"),
+        whole(n("sent")),
+        whole(n("heard")),
+        short(n("datagrams")),
+        whole(n("list")),
+        whole(n("desk") + n("votes")),
+        whole(n("control")),
+        short(n("control") / BUDGET.2),
+        short(n("ticks_ms")),
+        short(n("peers_ms")),
+        short(n("list_ms") + n("desk_ms")),
+        format!("{:.3}", n("control_ms") / 10.0),
+        format!("{:.3}", n("all_ms") / 10.0),
+        short(n("rpc_us")),
+        whole(run["memory"].as_f64().unwrap_or(f64::NAN) / 1000.0),
+    ]
+}
+
+fn tables(first: &str, title: &str) -> Vec<Table> {
+    let head: Vec<&str> = std::iter::once(first).chain(HEAD).collect();
+    NAMES.iter().map(|name| Table::new(format!("{title}: {name}"), &head)).collect()
+}
+
+/// Hollow marshals by their number, and few of them by the length of their list.
+///
+/// # Errors
+/// When a run failed.
+pub fn run(plan: &Plan) -> Result<Vec<Table>, Error> {
+    if plan.part {
+        let size = |at: usize, or: usize| plan.sizes.get(at).copied().unwrap_or(or);
+        println!("{}", part(size(0, FEW), size(1, SERVICE))?);
+        return Ok(vec![]);
+    }
+    let mut all = tables("marshals", "a hollow marshal with a list of 16 nodes");
+    for size in plan.sizes_or(&SIZES) {
+        let run = alone(size, SERVICE)?;
+        all.iter_mut().enumerate().for_each(|(stretch, table)| table.row(row(size, &run, stretch)));
+    }
+    if let Some(last) = all.last_mut() {
+        last.note(
+            "Bytes go both ways, with 28 for the heads of each datagram; without those of TCP. CPU is the core's alone, a \
+             shell's sockets are not in it (see the subject real); 'with the simulator' is all that the process took, RPCs \
+             and the script among it.",
+        );
+    }
+    if plan.sizes.is_empty() {
+        let mut long = tables("nodes", "ten hollow marshals by the length of their list");
+        for nodes in LISTS {
+            let run = alone(FEW, nodes)?;
+            long.iter_mut().enumerate().for_each(|(stretch, table)| table.row(row(nodes, &run, stretch)));
+            if let Some(last) = long.last_mut() {
+                let bytes = whole(run["list_bytes"].as_f64().unwrap_or(f64::NAN));
+                last.note(format!("A list of {} nodes has {bytes} bytes.", whole(nodes as f64)));
+            }
+        }
+        if let Some(last) = long.last_mut() {
+            last.note(
+                "The shipped shell takes at most 20,000 nodes and 4 MiB: a list of 44,000 is refused whole. Its row is what it \
+                 would cost if it were taken, the reading of it left out.",
+            );
+        }
+        all.extend(long);
+    }
+    Ok(all)
+}
--- /dev/null
+++ b/crates/measure/src/scale/hollow/script.rs
@@ -0,0 +1,227 @@
+//! What happens round a fleet of marshals, by time: the list, the desk and the RPCs. Hollow marshals and real processes are
+//! played the same.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use ivydrift_terms::Terms;
+use ivydrift_wire::desk::{Course, News, Stage, Sums, Vote};
+use ivydrift_wire::http::HeadWriter;
+use ivydrift_wire::list::{self, Listed, State};
+
+use crate::scale::core::{method, node, ZERO_MS};
+use crate::scale::{Error, ZONES};
+
+/// Questions to the list, and to the desk, are held for so long by the shell's own hand.
+pub const LIST_HOLD: Duration = Duration::from_secs(10);
+pub const DESK_HOLD: Duration = Duration::from_secs(5);
+/// A node answers after so long.
+pub const WORK: Duration = Duration::from_millis(2);
+const METHODS: usize = 5;
+
+/// A script; times are since the fleet's start.
+#[derive(Clone, Debug)]
+pub struct Script {
+    pub marshals: usize,
+    /// As they are listed at first.
+    pub nodes: Vec<Listed>,
+    /// RPCs a second of one marshal, and when they begin.
+    pub rate: f64,
+    pub rpcs_from: Duration,
+    /// One node begins to drain, or is back, this often.
+    pub turn: Duration,
+    /// The desk has new sums this often.
+    pub sums: Duration,
+    /// From then on an eighth of the nodes runs build 2, on trial.
+    pub trial: Duration,
+    /// A list that the shell would refuse for its length is taken all the same, to see what it would cost.
+    pub beyond: bool,
+}
+
+/// Where everybody is.
+#[derive(Clone, Copy, Debug)]
+pub struct Places<'a> {
+    pub listen: SocketAddr,
+    pub list: SocketAddr,
+    pub desk: SocketAddr,
+    pub peers: &'a [SocketAddr],
+}
+
+impl Script {
+    pub fn new(marshals: usize, nodes: usize) -> Script {
+        Script {
+            marshals,
+            nodes: (0..nodes).map(node).collect(),
+            rate: 0.0,
+            rpcs_from: Duration::from_secs(3),
+            turn: Duration::from_secs(20),
+            sums: Duration::from_secs(2),
+            trial: Duration::MAX,
+            beyond: false,
+        }
+    }
+
+    pub fn zone(&self, marshal: usize) -> usize {
+        marshal * ZONES / self.marshals.max(1)
+    }
+
+    /// Terms of one marshal, as a file.
+    pub fn text(&self, number: usize, places: &Places) -> String {
+        let quoted = |all: Vec<String>| all.iter().map(|t| format!("\"{t}\"")).collect::<Vec<_>>().join(", ");
+        let zones = quoted((0..ZONES).map(|z| format!("zone-{z}")).collect());
+        let peers = quoted(places.peers.iter().map(SocketAddr::to_string).collect());
+        let (of, zone) = (self.marshals, self.zone(number));
+        let mut text = format!(
+            "zones = [{zones}]\nkinds = [\"full-1c\"]\n\
+             marshal {{\n  number = {number}\n  of = {of}\n  zone = \"zone-{zone}\"\n}}\n\
+             places {{\n  listen = \"{}\"\n  node_list = \"{}\"\n  service = \"shop\"\n  release_desk = \"{}\"\n  \
+             peers = [{peers}]\n}}\nbounds {{\n  workers = 1\n}}\n",
+            places.listen, places.list, places.desk
+        );
+        for pair in 0..ZONES / 2 {
+            let (a, b) = (2 * pair, 2 * pair + 1);
+            let _ = writeln!(text, "region \"region-{pair}\" {{\n  zones = [\"zone-{a}\", \"zone-{b}\"]\n}}");
+        }
+        for n in 0..METHODS {
+            let _ = writeln!(
+                text,
+                "method \"{}\" {{\n  repeat = \"idempotent\"\n  soft_deadline = \"800ms\"\n  deadline = \"3s\"\n}}",
+                method(n)
+            );
+        }
+        text
+    }
+
+    /// Terms of all marshals, by the first one's: a file for each would hold all peers once more.
+    ///
+    /// # Errors
+    /// What is wrong with the terms.
+    pub fn terms(&self) -> Result<impl Fn(usize) -> Terms + '_, Error> {
+        let at = |n: usize| SocketAddr::from(([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7100));
+        let peers: Vec<SocketAddr> = (0..self.marshals).map(at).collect();
+        let places = Places { listen: at(0), list: at(1 << 17), desk: at(1 << 18), peers: &peers };
+        let first = ivydrift_terms::read("hollow.hcl", &self.text(0, &places)).map_err(|e| e.to_string())?;
+        Ok(move |n: usize| {
+            let mut terms = first.clone();
+            terms.places.listen = at(n);
+            (terms.rollout.marshal, terms.rollout.seed) = (n, n as u64 + 1);
+            terms.rollout.zone = self.zone(n);
+            terms
+        })
+    }
+
+    pub fn method(&self, rpc: u64) -> String {
+        method(rpc as usize % METHODS)
+    }
+
+    /// Changes of the list so far, those by the trial left out.
+    fn turns(&self, at: Duration) -> u64 {
+        (at.as_nanos() / self.turn.as_nanos().max(1)) as u64
+    }
+
+    pub fn list_index(&self, at: Duration) -> u64 {
+        1 + self.turns(at) + u64::from(at >= self.trial)
+    }
+
+    /// When the list changes next.
+    pub fn list_changes(&self, at: Duration) -> Duration {
+        let turn = self.turn.saturating_mul(self.turns(at) as u32 + 1);
+        if at < self.trial {
+            turn.min(self.trial)
+        } else {
+            turn
+        }
+    }
+
+    pub fn list(&self, at: Duration) -> Vec<Listed> {
+        let (mut nodes, turns, count) = (self.nodes.clone(), self.turns(at), self.nodes.len().max(1));
+        let since = |turn: u64| Some(ZERO_MS + 86_400_000 + (self.turn.as_millis() as u64) * turn);
+        // Two turns for each node: it drains, and is back as a process that has just started.
+        for turn in 1..=turns {
+            let node = &mut nodes[(turn as usize - 1) / 2 % count];
+            if turn % 2 == 1 {
+                node.state = State::Draining;
+            } else {
+                (node.state, node.started_ms) = (State::Ready, since(turn));
+            }
+        }
+        if at >= self.trial {
+            let trial = ZERO_MS + 86_400_000 + self.trial.as_millis() as u64;
+            for node in nodes.iter_mut().step_by(8) {
+                (node.build, node.started_ms) = (2, node.started_ms.max(Some(trial)));
+            }
+        }
+        nodes
+    }
+
+    pub fn stage(&self, at: Duration) -> Stage {
+        if at >= self.trial {
+            let age_ms = (at - self.trial).as_millis() as u64;
+            return Stage { build: 2, stage: 0, course: Course::OnTrial, cap: 0.14, age_ms };
+        }
+        Stage { build: 1, stage: 2, course: Course::Released, cap: 1.0, age_ms: 90_000 }
+    }
+
+    pub fn news_index(&self, at: Duration) -> u64 {
+        1 + (at.as_nanos() / self.sums.as_nanos().max(1)) as u64 + u64::from(at >= self.trial)
+    }
+
+    pub fn news_changes(&self, at: Duration) -> Duration {
+        let next = self.sums.saturating_mul((at.as_nanos() / self.sums.as_nanos().max(1)) as u32 + 1);
+        if at < self.trial {
+            next.min(self.trial)
+        } else {
+            next
+        }
+    }
+
+    pub fn news(&self, at: Duration) -> News {
+        let builds = if at >= self.trial { 2 } else { 1 };
+        let sums = |build: u32| {
+            (0..METHODS).map(move |m| Sums {
+                build,
+                method: method(m),
+                picks: 400,
+                failed: 1,
+                mean_ms: 2.5,
+                age_ms: 500,
+            })
+        };
+        let sums = (1..=builds).flat_map(sums).collect();
+        News { index: self.news_index(at), stage: Some(self.stage(at)), sums, disputed: vec![] }
+    }
+}
+
+/// A question as the shell writes it; its body apart.
+pub fn question(verb: &str, path: &str, number: usize, body: usize) -> Vec<u8> {
+    HeadWriter::request(verb, path)
+        .field("host", "127.0.0.1:30001")
+        .field("user-agent", format!("ivydrift/{} marshal-{number}", env!("CARGO_PKG_VERSION")))
+        .field("content-length", body.to_string())
+        .field("content-type", "application/json")
+        .finish()
+}
+
+pub fn list_question(number: usize, index: u64) -> Vec<u8> {
+    question("GET", &list::path("shop", index, LIST_HOLD.as_secs()), number, 0)
+}
+
+pub fn desk_question(number: usize, index: u64) -> Vec<u8> {
+    let path = format!("/v1/stage?index={index}&wait={}s&marshal={number}", DESK_HOLD.as_secs());
+    question("GET", &path, number, 0)
+}
+
+pub fn vote_question(number: usize, vote: &Vote) -> Vec<u8> {
+    let body = ivydrift_wire::desk::write(vote);
+    [question("POST", "/v1/votes", number, body.len()), body].concat()
+}
+
+/// An answer of list or desk, whole.
+pub fn answer(index: u64, body: &[u8]) -> Vec<u8> {
+    let head = HeadWriter::response(200)
+        .field(list::INDEX, index.to_string())
+        .field("content-length", body.len().to_string())
+        .finish();
+    [&head[..], body].concat()
+}
--- /dev/null
+++ b/crates/measure/src/scale/members.rs
@@ -0,0 +1,228 @@
+//! Membership by the number of members: how long all take to find all, what a member sends and costs, how old records are, and
+//! what a zone's loss and regions apart do.
+
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use super::part;
+use super::table::{short, spread, whole};
+use super::{Error, Plan, Table};
+use world::{secs, World};
+
+pub mod world;
+
+const SIZES: [usize; 5] = [100, 300, 1000, 2000, 3700];
+/// For so long regions are apart: the first at each size, the second at sizes up to 1,000, to show what grows with it.
+const APART: [u64; 2] = [120, 1200];
+/// Whom a fifth of a second parts from the next, when some members die one by one.
+const DEATHS: u16 = 5;
+
+/// The value at this part of the way from the least to the most.
+pub fn quantile(values: &mut [f32], part: f64) -> f64 {
+    values.sort_by(f32::total_cmp);
+    let at = (values.len().saturating_sub(1)) as f64 * part;
+    values.get(at.round() as usize).map_or(f64::NAN, |v| f64::from(*v))
+}
+
+fn seconds(span: Option<Duration>) -> f64 {
+    span.map_or(f64::NAN, |s| s.as_secs_f64())
+}
+
+/// What is sent in some time, by member and second.
+struct Sent {
+    from: Duration,
+    was: [u64; 2],
+}
+
+impl Sent {
+    fn since(world: &World) -> Sent {
+        Sent { from: world.now, was: world.sent() }
+    }
+
+    fn each(&self, world: &World, members: u16) -> [f64; 2] {
+        let span = (world.now - self.from).as_secs_f64().max(0.001) * f64::from(members);
+        let now = world.sent();
+        [0, 1].map(|i| now[i].saturating_sub(self.was[i]) as f64 / span)
+    }
+}
+
+/// One fleet's whole course; all values by name. `long`: seconds that regions are apart.
+fn course(count: u16, seed: u64, long: u64) -> Result<Value, Error> {
+    let (clean, patience) = (part::memory()?.now, secs(1800));
+    let mut world = World::new(count, seed);
+    let most = world.right_within(0.99, patience);
+    let found = world.right_within(1.0, patience).zip(most).map(|(a, b)| a + b);
+    // Long enough for each member to have its turn to say something new.
+    let steady = secs(60).max(Duration::from_secs_f64(1.2 * f64::from(count) / 20.0));
+    let (sent, cpu) = (Sent::since(&world), part::cpu());
+    world.run(steady);
+    let cpu = (part::cpu() - cpu).as_secs_f64() / steady.as_secs_f64() / f64::from(count);
+    let [datagrams, bytes] = sent.each(&world, count);
+    let memory = (part::memory()?.now - clean) / f64::from(count);
+    let (mut ages, known) = world.ages(200);
+    eprintln!("{count} members, seed {seed}: found {:.1} s", seconds(found));
+    // Some die, one after the other, and come back.
+    let dead: Vec<u16> = (0..DEATHS).map(|i| (u32::from(count) * u32::from(i) / 5 + 1) as u16).collect();
+    for n in &dead {
+        world.kill(*n);
+        world.run(Duration::from_millis(200));
+    }
+    world.right_within(1.0, secs(180));
+    let mut deaths = std::mem::take(&mut world.deaths);
+    dead.iter().for_each(|n| world.start(*n));
+    let restarted = world.right_within(1.0, patience);
+    // A zone is lost within a second, and comes back within one.
+    let zone: Vec<u16> = (0..count).filter(|n| world.zone(*n) == 0).collect();
+    let step = secs(1) / zone.len() as u32;
+    for n in &zone {
+        world.kill(*n);
+        world.run(step);
+    }
+    let gone = Sent::since(&world);
+    let lost = world.right_within(1.0, patience).map(|t| t + secs(1));
+    let [_, gone_bytes] = gone.each(&world, count - zone.len() as u16);
+    let mut zone_deaths = std::mem::take(&mut world.deaths);
+    for n in &zone {
+        world.start(*n);
+        world.run(step);
+    }
+    let back = Sent::since(&world);
+    let most_back = world.right_within(0.99, patience);
+    let returned = world.right_within(1.0, patience).zip(most_back).map(|(a, b)| a + b + secs(1));
+    let [_, back_bytes] = back.each(&world, count);
+    let wrong = world.false_deaths;
+    eprintln!("{count} members, seed {seed}: a zone back after {:.1} s", seconds(returned));
+    // Regions do not hear one another.
+    world.apart = true;
+    let apart = Sent::since(&world);
+    world.run(secs(long));
+    let [_, apart_bytes] = apart.each(&world, count);
+    let seen = world.right();
+    world.apart = false;
+    let joined = Sent::since(&world);
+    let most_joined = world.right_within(0.99, patience);
+    let whole = world.right_within(1.0, patience).zip(most_joined).map(|(a, b)| a + b);
+    let [_, joined_bytes] = joined.each(&world, count);
+    eprintln!("{count} members, seed {seed}: whole after {:.1} s", seconds(whole));
+    Ok(json!({
+        "found": seconds(found), "found_99": seconds(most), "datagrams": datagrams, "bytes": bytes,
+        "cpu_ms": cpu * 1000.0, "memory_kb": memory / 1000.0, "known": known,
+        "age_50": quantile(&mut ages, 0.5), "age_99": quantile(&mut ages, 0.99),
+        "death_50": quantile(&mut deaths, 0.5), "death_99": quantile(&mut deaths, 0.99),
+        "restarted": seconds(restarted), "zone_50": quantile(&mut zone_deaths, 0.5),
+        "zone_99": quantile(&mut zone_deaths, 0.99), "zone_all": seconds(lost), "zone_bytes": gone_bytes,
+        "return_99": seconds(most_back), "return": seconds(returned), "return_bytes": back_bytes,
+        "false_deaths": wrong, "apart_bytes": apart_bytes, "seen_apart": seen, "joined_99": seconds(most_joined),
+        "joined": seconds(whole), "joined_bytes": joined_bytes,
+    }))
+}
+
+/// One course in a process of its own: its memory and processor time are then its alone.
+fn alone(count: usize, seed: usize) -> Result<Value, Error> {
+    let (size, run) = (count.to_string(), seed.to_string());
+    let args = ["scale", "members", "--sizes", &size, "--runs", &run, "--part"];
+    let out = Command::new(std::env::current_exe()?).args(args).stderr(Stdio::inherit()).output()?;
+    if !out.status.success() {
+        return Err(format!("members at {count}, seed {seed}: {}", out.status).into());
+    }
+    Ok(serde_json::from_slice(&out.stdout)?)
+}
+
+/// The courses of one size, three at a time where they are small.
+fn courses(count: usize, runs: usize) -> Result<Vec<Value>, Error> {
+    let abreast = if count > 2000 { 1 } else { 3 };
+    let seeds: Vec<usize> = (1..=runs).collect();
+    let mut done = Vec::new();
+    for group in seeds.chunks(abreast) {
+        let some: Result<Vec<Value>, Error> = std::thread::scope(|s| {
+            let each: Vec<_> = group.iter().map(|seed| s.spawn(move || alone(count, *seed))).collect();
+            each.into_iter().map(|t| t.join().map_err(|_| Error::from("a course broke off"))?).collect()
+        });
+        done.extend(some?);
+    }
+    Ok(done)
+}
+
+/// The column of each value in the tables.
+type Column = (&'static str, &'static str);
+
+const STEADY: [Column; 11] = [
+    ("99% found, s", "found_99"),
+    ("all found, s", "found"),
+    ("datagrams/s", "datagrams"),
+    ("bytes/s", "bytes"),
+    ("CPU ms/s", "cpu_ms"),
+    ("memory, kB", "memory_kb"),
+    ("age p50, s", "age_50"),
+    ("p99, s", "age_99"),
+    ("a death seen p50, s", "death_50"),
+    ("p99, s", "death_99"),
+    ("5 back, known again, s", "restarted"),
+];
+
+const ZONE: [Column; 8] = [
+    ("seen p50, s", "zone_50"),
+    ("p99, s", "zone_99"),
+    ("by all, s", "zone_all"),
+    ("bytes/s meanwhile", "zone_bytes"),
+    ("back: 99%, s", "return_99"),
+    ("back: all, s", "return"),
+    ("bytes/s meanwhile", "return_bytes"),
+    ("living taken for dead", "false_deaths"),
+];
+
+const APART_COLUMNS: [Column; 5] = [
+    ("bytes/s apart", "apart_bytes"),
+    ("pairs seen apart", "seen_apart"),
+    ("whole again: 99%, s", "joined_99"),
+    ("all, s", "joined"),
+    ("bytes/s meanwhile", "joined_bytes"),
+];
+
+fn row(size: String, values: &[Value], columns: &[Column]) -> Vec<String> {
+    let cell = |(_, name): &Column| {
+        let all: Vec<f64> = values.iter().map(|v| v[*name].as_f64().unwrap_or(f64::NAN)).collect();
+        if *name == "false_deaths" {
+            return short(all.iter().sum());
+        }
+        spread(&all)
+    };
+    std::iter::once(size).chain(columns.iter().map(cell)).collect()
+}
+
+fn head<'a>(first: &'a str, columns: &[Column]) -> Vec<&'a str> {
+    std::iter::once(first).chain(columns.iter().map(|c| c.0)).collect()
+}
+
+/// Membership by members.
+///
+/// # Errors
+/// When a course could not be run.
+pub fn run(plan: &Plan) -> Result<Vec<Table>, Error> {
+    if plan.part {
+        let count = plan.sizes.first().copied().unwrap_or(100);
+        let count = u16::try_from(count).map_err(|_| "at most 65,535 members")?;
+        // A part's `--runs` is its seed; from 100 on, the hundreds say that regions are apart for the longer time.
+        let long = APART[usize::from(plan.runs >= 100)];
+        println!("{}", course(count, plan.runs as u64 % 100, long)?);
+        return Ok(vec![]);
+    }
+    let mut steady = Table::new("membership in quiet, for each member", &head("members", &STEADY));
+    let mut zone = Table::new("a zone of twelve lost at once, and back", &head("members", &ZONE));
+    let mut apart = Table::new("six regions apart, and whole again", &head("members, s apart", &APART_COLUMNS));
+    for size in plan.sizes_or(&SIZES) {
+        let all = courses(size, plan.runs())?;
+        steady.row(row(whole(size as f64), &all, &STEADY));
+        zone.row(row(whole(size as f64), &all, &ZONE));
+        apart.row(row(format!("{}, {}", whole(size as f64), APART[0]), &all, &APART_COLUMNS));
+        if size <= 1000 {
+            let long = alone(size, 101)?;
+            apart.row(row(format!("{}, {}", whole(size as f64), APART[1]), &[long], &APART_COLUMNS));
+        }
+    }
+    steady.note("Links of 1 to 3 ms, nothing lost; bytes without heads of IP and UDP; CPU with the simulator's own.");
+    steady.note("A member says something new once in members / 20 s: that is most of a record's age.");
+    Ok(vec![steady, zone, apart])
+}
--- a/crates/measure/src/scale/mod.rs
+++ b/crates/measure/src/scale/mod.rs
@@ -5,6 +5,8 @@
 //! for each size. Counts come from one seeded run and are the same every time.
 
 pub mod core;
+pub mod hollow;
+pub mod members;
 pub mod nodes;
 pub mod part;
 pub mod table;
@@ -34,11 +36,23 @@
     pub run: fn(&Plan) -> Result<Vec<Table>, Error>,
 }
 
-pub const SUBJECTS: &[Subject] = &[Subject {
-    name: "nodes",
-    about: "one core with its module at 95 RPCs a second, by nodes known",
-    run: nodes::run,
-}];
+pub const SUBJECTS: &[Subject] = &[
+    Subject {
+        name: "nodes",
+        about: "one core with its module at 95 RPCs a second, by nodes known",
+        run: nodes::run,
+    },
+    Subject {
+        name: "members",
+        about: "membership: who is there, what it costs, how old it is, by members",
+        run: members::run,
+    },
+    Subject {
+        name: "hollow",
+        about: "hollow marshals: the shipped core, what control costs each, by marshals",
+        run: hollow::run,
+    },
+];
 
 /// How a subject is to be measured.
 #[derive(Clone, Debug, Default)]
