--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -96,6 +96,9 @@
         #[arg(long, default_value = "127.0.0.1:0")]
         listen: SocketAddr,
     },
+    /// A part of a measurement: a marshal by its terms
+    #[command(hide = true)]
+    Marshal(ivydrift_edge::command::EdgeCommand),
     /// A part of a measurement: load from one process
     #[command(hide = true)]
     Load {
@@ -125,6 +128,7 @@
         Command::Relay { nodes } => subjects::relay(nodes),
         Command::Hyper { nodes } => subjects::hyper(nodes),
         Command::Edge { towards, listen } => subjects::edge(towards, listen),
+        Command::Marshal(edge) => return edge.run(),
         Command::Load { to, connections, seconds, rate } => load::run(&to, connections, seconds, rate),
     };
     match done {
--- a/crates/measure/src/scale/hollow/script.rs
+++ b/crates/measure/src/scale/hollow/script.rs
@@ -37,6 +37,10 @@
     pub trial: Duration,
     /// A list that the shell would refuse for its length is taken all the same, to see what it would cost.
     pub beyond: bool,
+    /// Unix time, in milliseconds, a day before the fleet's start.
+    pub zero_ms: u64,
+    /// Marshals know of one another.
+    pub peers: bool,
 }
 
 /// Where everybody is.
@@ -59,6 +63,8 @@
             sums: Duration::from_secs(2),
             trial: Duration::MAX,
             beyond: false,
+            zero_ms: ZERO_MS,
+            peers: true,
         }
     }
 
@@ -99,7 +105,7 @@
     /// What is wrong with the terms.
     pub fn terms(&self) -> Result<impl Fn(usize) -> Terms + '_, Error> {
         let at = |n: usize| SocketAddr::from(([10, (n >> 16) as u8, (n >> 8) as u8, n as u8], 7100));
-        let peers: Vec<SocketAddr> = (0..self.marshals).map(at).collect();
+        let peers: Vec<SocketAddr> = (0..self.marshals).filter(|_| self.peers).map(at).collect();
         let places = Places { listen: at(0), list: at(1 << 17), desk: at(1 << 18), peers: &peers };
         let first = ivydrift_terms::read("hollow.hcl", &self.text(0, &places)).map_err(|e| e.to_string())?;
         Ok(move |n: usize| {
@@ -136,7 +142,7 @@
 
     pub fn list(&self, at: Duration) -> Vec<Listed> {
         let (mut nodes, turns, count) = (self.nodes.clone(), self.turns(at), self.nodes.len().max(1));
-        let since = |turn: u64| Some(ZERO_MS + 86_400_000 + (self.turn.as_millis() as u64) * turn);
+        let since = |turn: u64| Some(self.zero_ms + 86_400_000 + (self.turn.as_millis() as u64) * turn);
         // Two turns for each node: it drains, and is back as a process that has just started.
         for turn in 1..=turns {
             let node = &mut nodes[(turn as usize - 1) / 2 % count];
@@ -147,7 +153,7 @@
             }
         }
         if at >= self.trial {
-            let trial = ZERO_MS + 86_400_000 + self.trial.as_millis() as u64;
+            let trial = self.zero_ms + 86_400_000 + self.trial.as_millis() as u64;
             for node in nodes.iter_mut().step_by(8) {
                 (node.build, node.started_ms) = (2, node.started_ms.max(Some(trial)));
             }
--- a/crates/measure/src/scale/mod.rs
+++ b/crates/measure/src/scale/mod.rs
@@ -9,7 +9,9 @@
 pub mod members;
 pub mod nodes;
 pub mod part;
+pub mod real;
 pub mod table;
+pub mod tree;
 
 use std::path::PathBuf;
 
@@ -52,6 +54,16 @@
         about: "hollow marshals: the shipped core, what control costs each, by marshals",
         run: hollow::run,
     },
+    Subject {
+        name: "real",
+        about: "real marshals as processes on loopback beside hollow ones by the same script",
+        run: real::run,
+    },
+    Subject {
+        name: "tree",
+        about: "larger state by tree: 16 KiB from one marshal to all",
+        run: tree::run,
+    },
 ];
 
 /// How a subject is to be measured.
--- /dev/null
+++ b/crates/measure/src/scale/real/process.rs
@@ -0,0 +1,84 @@
+//! A marshal as a process: this very program, by its terms. Its log says whom it saw come and go.
+
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use crate::scale::hollow::host::seen;
+
+pub struct Process {
+    child: Child,
+    log: PathBuf,
+}
+
+/// Processor time so far, and resident bytes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sample {
+    pub cpu: Duration,
+    pub resident: f64,
+}
+
+impl Process {
+    /// # Errors
+    /// When it cannot be started.
+    pub fn start(folder: &Path, name: &str, terms: &str) -> io::Result<Process> {
+        let (file, log) = (folder.join(format!("{name}.hcl")), folder.join(format!("{name}.log")));
+        std::fs::write(&file, terms)?;
+        let mut command = Command::new(std::env::current_exe()?);
+        command.arg("marshal").arg(&file).env_remove("RUST_LOG");
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(File::create(&log)?).spawn()?;
+        Ok(Process { child, log })
+    }
+
+    /// Ends this process, and no other.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// # Errors
+    /// When the process is gone.
+    pub fn sample(&self) -> io::Result<Sample> {
+        let own = PathBuf::from(format!("/proc/{}", self.child.id()));
+        let mut cpu = 0;
+        for task in std::fs::read_dir(own.join("task"))? {
+            // A thread may end meanwhile.
+            let text = std::fs::read_to_string(task?.path().join("schedstat")).unwrap_or_default();
+            cpu += text.split_whitespace().next().and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
+        }
+        let status = std::fs::read_to_string(own.join("status"))?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or("0 kB");
+        let kib: f64 = line.trim().trim_end_matches(" kB").trim().parse().unwrap_or(0.0);
+        Ok(Sample { cpu: Duration::from_nanos(cpu), resident: kib * 1024.0 })
+    }
+
+    /// Whom it saw come (true) or go, and at which second of the day.
+    ///
+    /// # Errors
+    /// When the log cannot be read.
+    pub fn saw(&self) -> io::Result<Vec<(f64, usize, bool)>> {
+        let text = std::fs::read_to_string(&self.log)?;
+        let line = |line: &str| {
+            let value: serde_json::Value = serde_json::from_str(line).ok()?;
+            let (whom, was, is) = seen(value["fields"]["message"].as_str()?)?;
+            Some((second(value["timestamp"].as_str()?)?, whom, is)).filter(|_| was != is)
+        };
+        Ok(text.lines().filter_map(line).collect())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The second of the day of `2026-12-02T04:27:45.123456Z`.
+fn second(stamp: &str) -> Option<f64> {
+    let (_, time) = stamp.split_once('T')?;
+    let mut parts = time.trim_end_matches('Z').split(':').map(str::parse::<f64>);
+    let (h, m, s) = (parts.next()?.ok()?, parts.next()?.ok()?, parts.next()?.ok()?);
+    Some(h * 3600.0 + m * 60.0 + s)
+}
--- /dev/null
+++ b/crates/measure/src/scale/tree.rs
@@ -0,0 +1,72 @@
+//! Larger state by tree, by marshals: how long 16 KiB take to all, and what each sends for it.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+
+use super::part::cpu;
+use super::table::{spread, whole};
+use super::{Error, Plan, Table};
+use world::World;
+
+pub mod world;
+
+const SIZES: [usize; 3] = [300, 1000, 3700];
+/// A start file's size, and parts of datagrams lost.
+pub const STATE: usize = 16_384;
+const LOSSES: [f64; 2] = [0.0, 0.05];
+const PATIENCE: Duration = Duration::from_secs(120);
+
+pub fn state(seed: u64) -> Vec<u8> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    (0..STATE).map(|_| rng.random()).collect()
+}
+
+fn course(count: u16, loss: f64, seed: u64) -> serde_json::Value {
+    let mut world = World::new(count, loss, seed);
+    let from = cpu();
+    world.offer(1, &state(seed));
+    let all = usize::from(count);
+    let half = world.until(1, all / 2, PATIENCE).unwrap_or(f64::NAN);
+    let took = world.until(1, all, PATIENCE).unwrap_or(f64::NAN);
+    let cpu = (cpu() - from).as_secs_f64() * 1000.0 / f64::from(count) / world.now.as_secs_f64();
+    let most = |of: fn(&world::Sent) -> u64| world.sent.iter().map(of).max().unwrap_or(0);
+    let bytes = world.sent.iter().map(|s| s.bytes).sum::<u64>() as f64 / f64::from(count);
+    json!({ "half": half, "all": took, "second": most(|s| s.most), "pieces": most(|s| s.pieces),
+            "bytes": bytes, "most": most(|s| s.bytes), "cpu_ms": cpu })
+}
+
+/// Larger state by marshals.
+///
+/// # Errors
+/// When a size is not one of marshals.
+pub fn run(plan: &Plan) -> Result<Vec<Table>, Error> {
+    let head = [
+        "marshals",
+        "half have it, s",
+        "all, s",
+        "most pieces of one in a second",
+        "most pieces of one",
+        "bytes sent a marshal",
+        "most bytes of one",
+        "CPU ms/s a marshal",
+    ];
+    let mut tables = vec![];
+    for loss in LOSSES {
+        let mut table = Table::new(format!("16 KiB from one to all along the tree, {} of datagrams lost", loss), &head);
+        for size in plan.sizes_or(&SIZES) {
+            let count = u16::try_from(size).map_err(|_| "--sizes: write at most 65,535 marshals")?;
+            // One run of the largest is enough of processor time.
+            let runs = if size > 1000 { 1 } else { plan.runs() };
+            let all: Vec<_> = (1..=runs as u64).map(|seed| course(count, loss, seed)).collect();
+            let cell = |name: &str| spread(&all.iter().map(|v| v[name].as_f64().unwrap_or(f64::NAN)).collect::<Vec<_>>());
+            let names = ["half", "all", "second", "pieces", "bytes", "most", "cpu_ms"];
+            table.row(std::iter::once(whole(size as f64)).chain(names.map(cell)));
+        }
+        table.note("All heard of it at once, links of 1 to 40 ms, beats of 50 ms. CPU with the simulator's own, while it lasts.");
+        tables.push(table);
+    }
+    Ok(tables)
+}
