--- a/crates/measure/src/scale/mod.rs
+++ b/crates/measure/src/scale/mod.rs
@@ -4,13 +4,21 @@
 //! Processor time is that of the process by its own clock; memory is what the kernel says of a process of its own
 //! for each size. Counts come from one seeded run and are the same every time.
 
+pub mod bursts;
+pub mod cold;
 pub mod core;
+pub mod crowd;
+pub mod evidence;
 pub mod hollow;
+pub mod meeting;
 pub mod members;
+pub mod methods;
 pub mod nodes;
 pub mod part;
 pub mod real;
+pub mod services;
 pub mod table;
+pub mod tenants;
 pub mod tree;
 
 use std::path::PathBuf;
@@ -44,6 +52,25 @@
         about: "one core with its module at 95 RPCs a second, by nodes known",
         run: nodes::run,
     },
+    Subject { name: "methods", about: "the same by methods in its terms", run: methods::run },
+    Subject { name: "tenants", about: "reading terms and finding a tenant, by tenants", run: tenants::run },
+    Subject { name: "services", about: "one core a service, many in one process", run: services::run },
+    Subject {
+        name: "evidence",
+        about: "how long a verdict takes, alone, by zone, by all",
+        run: evidence::run,
+    },
+    Subject {
+        name: "meeting",
+        about: "who meets which service, and the connections of a node",
+        run: meeting::run,
+    },
+    Subject {
+        name: "bursts",
+        about: "a zone lost, all restarted, a peak minute, regions apart",
+        run: bursts::run,
+    },
+    Subject { name: "cold", about: "cold budgets and caps divided over ever more marshals", run: cold::run },
     Subject {
         name: "members",
         about: "membership: who is there, what it costs, how old it is, by members",
