--- a/crates/measure/src/scale/mod.rs
+++ b/crates/measure/src/scale/mod.rs
@@ -9,13 +9,17 @@
 pub mod core;
 pub mod crowd;
 pub mod evidence;
+pub mod hollow;
 pub mod meeting;
+pub mod members;
 pub mod methods;
 pub mod nodes;
 pub mod part;
+pub mod real;
 pub mod services;
 pub mod table;
 pub mod tenants;
+pub mod tree;
 
 use std::path::PathBuf;
 
@@ -67,6 +71,22 @@
         run: bursts::run,
     },
     Subject { name: "cold", about: "cold budgets and caps divided over ever more marshals", run: cold::run },
+    Subject {
+        name: "members",
+        about: "membership: who is there, what it costs, how old it is, by members",
+        run: members::run,
+    },
+    Subject {
+        name: "hollow",
+        about: "hollow marshals: the shipped core, what control costs each, by marshals",
+        run: hollow::run,
+    },
+    Subject {
+        name: "real",
+        about: "real marshals as processes on loopback beside hollow ones by the same script",
+        run: real::run,
+    },
+    Subject { name: "tree", about: "larger state by tree: 16 KiB from one marshal to all", run: tree::run },
 ];
 
 /// How a subject is to be measured.
