--- a/crates/client/examples/choice.rs
+++ b/crates/client/examples/choice.rs
@@ -31,7 +31,9 @@
             for action in core.handle(now, event) {
                 match action {
                     Action::Connect { conn, .. } => events.push(Event::Connected { conn }),
-                    Action::Send { call, .. } => events.push(Event::Answered { call, reply: Reply::Ok, keep: true }),
+                    Action::Send { call, .. } => {
+                        events.push(Event::Answered { call, reply: Reply::Ok, keep: true })
+                    }
                     Action::Close { .. } | Action::Finish { .. } => {}
                 }
             }
--- a/crates/measure/tests/capacity/sizes.rs
+++ b/crates/measure/tests/capacity/sizes.rs
@@ -95,12 +95,20 @@
 }
 
 fn sums() -> usize {
-    let one = Sums { build: 312, method: "calendar-read".into(), picks: 1400, failed: 12, mean_ms: 80.5, age_ms: 900 };
+    let one = Sums {
+        build: 312,
+        method: "calendar-read".into(),
+        picks: 1400,
+        failed: 12,
+        mean_ms: 80.5,
+        age_ms: 900,
+    };
     desk::write(&one).len()
 }
 
 fn stage() -> usize {
-    let stage = desk::Stage { build: 312, stage: 1, course: desk::Course::OnTrial, cap: 0.14, age_ms: 12_000 };
+    let stage =
+        desk::Stage { build: 312, stage: 1, course: desk::Course::OnTrial, cap: 0.14, age_ms: 12_000 };
     desk::write(&desk::News { index: 123_456, stage: Some(stage), sums: vec![], disputed: vec![] }).len()
 }
 
@@ -113,7 +121,10 @@
         ("bytes of a list at most", LIST_BYTES),
         ("nodes of a list at most", LIST_NODES),
         ("a question to the list, its head", question(&list::path("calendar", 123_456, 10))),
-        ("a question to the desk, its head", question("/v1/stage?index=123456&wait=5s&marshal=3699&service=calendar")),
+        (
+            "a question to the desk, its head",
+            question("/v1/stage?index=123456&wait=5s&marshal=3699&service=calendar"),
+        ),
         ("the desk's standing of a build", stage()),
         ("the desk's sums of one build and method", sums()),
         ("the desk's news at most", desk::NEWS_BYTES),
@@ -139,6 +150,7 @@
 /// 44000 as 44,000.
 fn grouped(n: usize) -> String {
     let digits = n.to_string();
-    let parts: Vec<&str> = digits.as_bytes().rchunks(3).rev().map(|p| std::str::from_utf8(p).unwrap()).collect();
+    let parts: Vec<&str> =
+        digits.as_bytes().rchunks(3).rev().map(|p| std::str::from_utf8(p).unwrap()).collect();
     parts.join(",")
 }
