--- a/crates/marshal/src/directory.rs
+++ b/crates/marshal/src/directory.rs
@@ -71,6 +71,11 @@
         Event::Nodes { scope: Scope::Full, nodes: present.copied().collect() }
     }
 
+    /// Indices given out, to nodes that have gone too.
+    pub fn len(&self) -> usize {
+        self.addrs.len()
+    }
+
     pub fn ready(&self) -> usize {
         self.entries.values().filter(|e| e.readiness == Readiness::Ready).count()
     }
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -13,6 +13,7 @@
 mod renewal;
 mod rpcs;
 mod said;
+mod services;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -28,6 +29,7 @@
 use peers::Peers;
 use rpcs::Rpcs;
 pub use said::{Ballot, Call, Counts, Id, Input, Order, Saw, Why};
+pub use services::{Dropped, Hold, Holding, Said, Services, HOME};
 
 pub struct Core {
     policy: Marshal,
--- a/crates/marshal/src/renewal.rs
+++ b/crates/marshal/src/renewal.rs
@@ -6,7 +6,7 @@
 use crate::Core;
 
 /// Names that terms may bring in over a marshal's life, of a kind: each keeps its index until a restart.
-const MOST_NAMES: usize = 1000;
+pub(crate) const MOST_NAMES: usize = 1000;
 
 /// All known names, the earlier ones first, and what `new` says of each where it does.
 fn merged<T>(known: &[String], new: Vec<String>, values: Vec<T>) -> (Vec<String>, Vec<Option<T>>) {
@@ -76,6 +76,8 @@
             bounds: new.bounds,
             rollout,
             methods,
+            serves: new.serves,
+            services: new.services,
             tenants,
             zones,
             regions,
--- a/crates/marshal/src/rpcs.rs
+++ b/crates/marshal/src/rpcs.rs
@@ -84,6 +84,10 @@
         self.held.len()
     }
 
+    pub fn holds(&self, id: Id) -> bool {
+        self.held.contains_key(&id)
+    }
+
     pub fn first_overdue(&self) -> Option<Duration> {
         self.until.first().map(|u| u.0)
     }
--- a/crates/marshal/src/said.rs
+++ b/crates/marshal/src/said.rs
@@ -241,3 +241,19 @@
     pub overdue: u64,
     pub held: usize,
 }
+
+impl Counts {
+    pub(crate) fn plus(self, other: Counts) -> Counts {
+        Counts {
+            rpcs: self.rpcs + other.rpcs,
+            ok: self.ok + other.ok,
+            pushed_back: self.pushed_back + other.pushed_back,
+            aborted: self.aborted + other.aborted,
+            left: self.left + other.left,
+            rejected: self.rejected + other.rejected,
+            picks: self.picks + other.picks,
+            overdue: self.overdue + other.overdue,
+            held: self.held + other.held,
+        }
+    }
+}
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -71,6 +71,8 @@
     rollout.limits.peers = false;
     let bounds = Bounds::by_descriptors(sockets as usize, BODY, connect);
     let regions = vec![0; zones.len()];
-    let terms = Terms { places, bounds, rollout, methods, tenants, zones, regions, kinds };
+    // One service: methods name none.
+    let (serves, services) = (vec![], Default::default());
+    let terms = Terms { places, bounds, rollout, methods, serves, services, tenants, zones, regions, kinds };
     Ok(Start { terms, known, news })
 }
--- a/crates/policy/src/marshal.rs
+++ b/crates/policy/src/marshal.rs
@@ -37,6 +37,21 @@
         self.judge.lay_out(&self.cx.law, rings(&self.cx.law, RING));
     }
 
+    /// The accounts of the rules count as full from `now` on, each for its window: what was in them is not known.
+    pub fn fill_accounts(&mut self, now: Duration) {
+        self.front.gate.full = Some(now);
+    }
+
+    /// A key that met a build under the one-way rule could still be sent to an earlier one, were it forgotten.
+    pub fn keys_open(&self) -> bool {
+        self.front.gate.keys_open(&self.cx)
+    }
+
+    /// Reckoned bytes of what is kept, and of that what each listed node takes.
+    pub fn bytes(&self) -> (usize, usize) {
+        (reckon(&self.cx, &self.nodes, &self.front, &self.judge), node_bytes(&self.cx.law))
+    }
+
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
         self.cx.now = now;
         for event in events {
--- a/crates/policy/src/policy/gate.rs
+++ b/crates/policy/src/policy/gate.rs
@@ -57,7 +57,7 @@
         let (late, early) = (rule.window + BEAT, rule.window.saturating_sub(BEAT));
         let used: f64 = counted().map(|m| recent(self.sent.get(&(entry.build, m)), cx.now, late)).sum();
         let taken: f64 = counted().map(|m| recent(self.taken.get(&m), cx.now, early)).sum();
-        used + 1.0 <= rule.free + cap * taken
+        used + 1.0 <= self.free(cx) + cap * taken
     }
 
     /// Peers are taken to send in proportion to what each has had answered: less than the fleet can do.
@@ -71,7 +71,7 @@
         let budget = law.fall_budget * least * self.served * power(entry);
         let window = (age.as_secs_f64() / law.fall_window.as_secs_f64().max(0.001) + law.phase) as u64;
         let lot = lot(law.seed, 1 << 63 | (entry.node as u64) << 32 | window);
-        let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window);
+        let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window) + self.unknown(cx);
         used + 1.0 <= (budget + lot).floor()
     }
 }
--- a/crates/policy/src/state/front.rs
+++ b/crates/policy/src/state/front.rs
@@ -51,6 +51,8 @@
     pub crossed: BTreeMap<u64, Build>,
     /// Keys of RPCs whose client left while a pick was out, with that pick's build.
     pub left: BTreeMap<RpcIx, (u64, Build)>,
+    /// From when on the accounts were taken as full: what was in them before is not known.
+    pub full: Option<Duration>,
 }
 
 impl Gate {
@@ -65,6 +67,26 @@
         self.sent.entry((entry.build, method)).or_default().push_back(cx.now);
         self.cold_sent.entry(entry.node).or_default().push_back(cx.now);
     }
+    /// Picks that exposure grants whatever the traffic: none in the window from when the accounts were taken as full.
+    pub fn free(&self, cx: &Cx) -> f64 {
+        let full = self.full.is_some_and(|at| cx.now < at + cx.law.exposure.window + crate::policy::BEAT);
+        if full {
+            0.0
+        } else {
+            cx.law.exposure.free
+        }
+    }
+
+    /// What cold nodes may have had that is not known: as good as any budget, for a window.
+    pub fn unknown(&self, cx: &Cx) -> f64 {
+        let full = self.full.is_some_and(|at| cx.now < at + cx.law.fall_window);
+        if full {
+            f64::INFINITY
+        } else {
+            0.0
+        }
+    }
+
     /// Times before this are no longer asked for.
     pub fn forget(&mut self, before: Duration) {
         let all = self.taken.values_mut().chain(self.sent.values_mut()).chain(self.cold_sent.values_mut());
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -5,9 +5,11 @@
 #[cfg(test)]
 mod tests;
 
+pub mod services;
 pub mod sheet;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use ivydrift_policy::port::*;
@@ -107,6 +109,9 @@
     pub rollout: RolloutTerms,
     /// Names behind the policy's indices.
     pub methods: Vec<String>,
+    /// The service of each method; of [`Places::service`] where there is none.
+    pub serves: Vec<Arc<str>>,
+    pub services: services::ServicesTerms,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     /// The region of each zone.
@@ -194,7 +199,10 @@
             peers,
         }
     });
-    let methods = top.labelled("method", |name, s| (name.to_owned(), method(s)));
+    let methods = top.labelled("method", |name, s| {
+        let value = method(s);
+        (name.to_owned(), (value, services::of(s, &places.service)))
+    });
     if methods.is_empty() {
         top.complain(None, "no method is named: write at least one method \"its-path\" { ... }");
     }
@@ -233,7 +241,9 @@
     });
     let rules = top.block("rules", rules);
     let release = top.block("release", |s| release(s, marshals));
-    let (methods, method_terms) = methods.into_iter().unzip();
+    let (methods, rest): (Vec<String>, Vec<_>) = methods.into_iter().unzip();
+    let (method_terms, serves): (_, Vec<Arc<str>>) = rest.into_iter().unzip();
+    let services = services::read(top, &places.service, &serves);
     let (tenants, tenant_terms) = tenants.into_iter().unzip();
     let rollout = RolloutTerms {
         seed,
@@ -251,7 +261,7 @@
         rules,
         limits,
     };
-    Terms { places, bounds, rollout, methods, tenants, zones, regions, kinds }
+    Terms { places, bounds, rollout, methods, serves, services, tenants, zones, regions, kinds }
 }
 
 /// The region of each zone: as the blocks `region "north" { zones = [...] }` say, all in one where there are none.
--- a/crates/terms/src/tests.rs
+++ b/crates/terms/src/tests.rs
@@ -71,3 +71,38 @@
         );
     }
 }
+
+#[test]
+fn a_method_names_its_service_and_else_has_that_of_places() {
+    let with = |service: &str, block: &str| {
+        let method = format!("method \"relay-read\" {{\n  {service}\n  repeat = \"idempotent\"\n");
+        format!("{EXAMPLE}\n{method}  soft_deadline = \"1s\"\n  deadline = \"2s\"\n}}\n{block}\n")
+    };
+    let plain = read("edge.hcl", EXAMPLE).unwrap();
+    assert!(plain.serves.iter().all(|s| **s == *"calendar") && plain.serves.len() == plain.methods.len());
+    assert_eq!(plain.services, services::ServicesTerms::default());
+    let block = "services {\n  most = 3\n  rest = \"5s\"\n  kib = 100\n}";
+    let two = read("edge.hcl", &with("service = \"relay\"", block)).unwrap();
+    assert_eq!(
+        two.serves.iter().map(|s| &s[..]).collect::<Vec<_>>(),
+        ["calendar", "calendar", "calendar", "relay"]
+    );
+    let wanted = services::ServicesTerms { most: 3, rest: Duration::from_secs(5), bytes: 100 * 1024 };
+    assert_eq!(two.services, wanted);
+    let line = |text: &str, what: &str| text.lines().position(|l| l.contains(what)).unwrap() + 1;
+    for (service, block, at, what) in [
+        ("service = \"a/b\"", "", "a/b", "letters, digits, - _ or ."),
+        ("service = 7", "", "service = 7", "a service's name in the node list"),
+        ("", "services {\n  most = 0\n}", "most = 0", "a whole number, 1 to 10000"),
+        ("", "services {\n  rest = \"2ms\"\n}", "rest", "write a span of"),
+        ("", "services {\n  kbi = 64\n}", "kbi", "did you mean kib?"),
+    ] {
+        let text = with(service, block);
+        let found = complaints(&text).join("\n");
+        let place = format!("edge.hcl:{}:", line(&text, at));
+        assert!(found.contains(&place) && found.contains(what), "{place} {what}: {found}");
+    }
+    let none = EXAMPLE.replace("  repeat =", "  service = \"relay\"\n  repeat =");
+    let found = complaints(&none).join("\n");
+    assert!(found.contains("no method is of places.service \"calendar\""), "{found}");
+}
--- a/crates/wire/src/desk.rs
+++ b/crates/wire/src/desk.rs
@@ -76,6 +76,21 @@
     pub build: u32,
 }
 
+/// A vote on a service. None is named in that of a marshal's own, `places.service`: so it was when there was but one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceVote {
+    #[serde(flatten)]
+    pub vote: Vote,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<String>,
+}
+
+/// Where news is asked for, of `service` where it is not the marshal's own.
+pub fn path(index: u64, wait_s: u64, marshal: usize, service: Option<&str>) -> String {
+    let path = format!("/v1/stage?index={index}&wait={wait_s}s&marshal={marshal}");
+    service.map_or(path.clone(), |name| format!("{path}&service={name}"))
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Counted {
@@ -137,6 +152,19 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn one_service_is_asked_and_voted_on_in_the_words_of_before_there_were_many() {
+        let vote = Vote { marshal: 3, verdict: Verdict::Back, stage: 1, build: 42 };
+        let plain = ServiceVote { vote, service: None };
+        assert_eq!(write(&plain), write(&vote));
+        assert_eq!(path(7, 5, 3, None), "/v1/stage?index=7&wait=5s&marshal=3");
+        let named = ServiceVote { vote, service: Some("relay".into()) };
+        assert_eq!(path(7, 5, 3, Some("relay")), "/v1/stage?index=7&wait=5s&marshal=3&service=relay");
+        assert_eq!(read::<ServiceVote>(&write(&named)).unwrap(), named);
+        assert_eq!(read::<ServiceVote>(&write(&vote)).unwrap(), plain);
+        assert_eq!(read::<Vote>(&write(&named)).unwrap(), vote, "a desk of one service reads on");
+    }
+
     #[test]
     fn a_cap_out_of_range_is_not_believed() {
         let news = |cap: f64| {
