--- /dev/null
+++ b/crates/marshal/tests/services/bed.rs
@@ -0,0 +1,401 @@
+//! A marshal of many services in virtual time: lists, desks and nodes that answer as they are told to, and the laws, which
+//! are checked after every step.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use ivydrift_marshal::{Call, Dropped, Hold, Id, Input, Order, Said, Saw, Services, HOME};
+use ivydrift_terms::Terms;
+use ivydrift_wire::desk::{Course, News, Stage};
+use ivydrift_wire::list::Listed;
+use ivydrift_wire::orca::Metrics;
+
+pub const NONE: Metrics =
+    Metrics { cpu_utilization: None, rps: None, eps: None, queue: None, in_flight: None, latency_ms: None };
+pub const OK: Saw = Saw::Answer { status: 200, never_ran: false, load: NONE };
+pub const ERROR: Saw = Saw::Answer { status: 500, never_ran: false, load: NONE };
+pub const FULL: Saw = Saw::Answer { status: 503, never_ran: true, load: NONE };
+
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// The example's three methods of `calendar`, and for each service `NAME-read` (idempotent), `NAME-save` (tokened, 5 s)
+/// and `NAME-book` (non-idempotent).
+pub fn terms(services: &[String], block: &str, release: &str) -> Terms {
+    let mut text = ivydrift_terms::EXAMPLE.replace("release {", &format!("release {{\n  {release}\n"));
+    for name in services {
+        for (what, repeat) in [("read", "idempotent"), ("save", "tokened"), ("book", "non-idempotent")] {
+            let window = if what == "save" { "window = \"5s\"\n" } else { "" };
+            text += &format!(
+                "\nmethod \"{name}-{what}\" {{\n  service = \"{name}\"\n  repeat = \"{repeat}\"\n  {window}  \
+                 soft_deadline = \"800ms\"\n  deadline = \"3s\"\n}}\n"
+            );
+        }
+    }
+    ivydrift_terms::read("many.hcl", &format!("{text}\nservices {{\n  {block}\n}}\n")).unwrap()
+}
+
+pub fn names(count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("s{n}")).collect()
+}
+
+/// How a service's surroundings behave.
+#[derive(Clone)]
+pub struct Manner {
+    /// The list comes after so long; none: never, or broken off where `torn`.
+    pub list: Option<u64>,
+    pub torn: bool,
+    pub desk: Option<u64>,
+    pub stage: Stage,
+    pub nodes: Vec<Listed>,
+    /// A pick ends so, after so long.
+    pub takes: u64,
+    pub saw: Saw,
+}
+
+pub fn released(build: u32) -> Stage {
+    Stage { build, stage: 2, course: Course::Released, cap: 1.0, age_ms: 90_000 }
+}
+
+pub fn on_trial(build: u32, cap: f64) -> Stage {
+    Stage { build, stage: 0, course: Course::OnTrial, cap, age_ms: 5_000 }
+}
+
+impl Manner {
+    pub fn plain(nodes: Vec<Listed>) -> Manner {
+        Manner { list: Some(20), torn: false, desk: Some(10), stage: released(1), nodes, takes: 15, saw: OK }
+    }
+}
+
+pub struct Seen {
+    pub service: String,
+    by: Duration,
+    pub answers: Vec<(&'static str, Option<Duration>)>,
+    pub out: BTreeSet<usize>,
+    pub picks: usize,
+    tokened: bool,
+    left: bool,
+}
+
+#[derive(Default)]
+pub struct Story {
+    pub taken: Vec<Duration>,
+    /// When, to which build, to which port.
+    pub picks: Vec<(Duration, u32, u16)>,
+    tokens: Duration,
+    pub keys: bool,
+}
+
+enum Ev {
+    List(Hold),
+    Lost(Hold),
+    News(Hold),
+    Ended(Id, usize, Saw),
+}
+
+pub struct Bed {
+    pub services: Services,
+    pub now: Duration,
+    pub manners: BTreeMap<String, Manner>,
+    pub rpcs: BTreeMap<Id, Seen>,
+    pub stories: BTreeMap<String, Story>,
+    pub held: BTreeMap<Hold, String>,
+    pub dropped: Vec<(Duration, String, Dropped)>,
+    pub said: Vec<(Duration, Said)>,
+    pub ticks: u64,
+    /// A list's answer is repeated after so long while it is followed.
+    pub again: Option<u64>,
+    queue: BTreeMap<(Duration, u64), Ev>,
+    next: u64,
+    most: usize,
+    bytes: usize,
+    window: Duration,
+    free: f64,
+    one_way: bool,
+}
+
+impl Bed {
+    pub fn new(terms: Terms, manners: BTreeMap<String, Manner>) -> Bed {
+        let (most, bytes, release) = (terms.services.most, terms.services.bytes, &terms.rollout.release);
+        let (window, free, one_way) = (release.window, release.free, release.one_way);
+        let mut bed = Bed {
+            services: Services::new(terms, 0),
+            now: ms(86_400_000),
+            manners,
+            rpcs: BTreeMap::new(),
+            stories: BTreeMap::new(),
+            held: BTreeMap::new(),
+            dropped: vec![],
+            said: vec![],
+            ticks: 0,
+            again: None,
+            queue: BTreeMap::new(),
+            next: 0,
+            most,
+            bytes,
+            window,
+            free,
+            one_way,
+        };
+        bed.feed(HOME, Input::Tick);
+        bed
+    }
+
+    pub fn feed(&mut self, of: Hold, input: Input) -> Vec<Said> {
+        let said = self.services.handle(self.now, of, input);
+        for one in &said {
+            self.obey(one);
+            self.said.push((self.now, one.clone()));
+        }
+        self.laws();
+        said
+    }
+
+    fn at(&mut self, after: u64, ev: Ev) {
+        self.next += 1;
+        self.queue.insert((self.now + ms(after), self.next), ev);
+    }
+
+    fn obey(&mut self, said: &Said) {
+        match said {
+            Said::Follow { of, service } => {
+                assert!(!self.held.values().any(|name| **name == **service), "{service} is held twice");
+                assert!(self.held.insert(*of, service.to_string()).is_none(), "a holding used again");
+                if let Some(after) = self.manners[&**service].desk {
+                    self.at(after, Ev::News(*of));
+                }
+            }
+            Said::Leave { of, service, why } => {
+                let held = self.held.remove(of);
+                assert_eq!(held.as_deref(), Some(&**service), "left what is not held");
+                self.closed(service, *why);
+                self.dropped.push((self.now, service.to_string(), *why));
+            }
+            Said::Order { of, order } => {
+                assert!(*of == HOME || self.held.contains_key(of), "an order of a service that is not held");
+                self.order(*of, order);
+            }
+        }
+    }
+
+    /// Law: nothing is dropped while anything of it is open.
+    fn closed(&self, service: &str, why: Dropped) {
+        for (id, rpc) in self.rpcs.iter().filter(|r| r.1.service == service) {
+            let answered = !rpc.answers.is_empty() || rpc.left;
+            assert!(answered && rpc.out.is_empty(), "{service} dropped ({why:?}) with RPC {id} in hand");
+        }
+        let Some(story) = self.stories.get(service) else { return };
+        let last = story.picks.last().map_or(Duration::ZERO, |p| p.0 + self.window);
+        assert!(self.now >= last, "{service} dropped ({why:?}) with its exposure's window open");
+        assert!(self.now >= story.tokens, "{service} dropped ({why:?}) with a token's window open");
+        assert!(!(self.one_way && story.keys), "{service} dropped ({why:?}) with keys that have crossed");
+    }
+
+    /// As far as this side can see, nothing of it is open.
+    fn may_go(&self, service: &str) -> bool {
+        let mine = self.rpcs.values().filter(|r| r.service == service);
+        let busy = mine.filter(|r| r.answers.is_empty() && !r.left || !r.out.is_empty()).count() > 0;
+        let Some(story) = self.stories.get(service) else { return !busy };
+        let last = story.picks.last().map_or(Duration::ZERO, |p| p.0 + self.window + ms(500));
+        !busy && self.now >= last && self.now >= story.tokens && !(self.one_way && story.keys)
+    }
+
+    fn order(&mut self, of: Hold, order: &Order) {
+        let name = self.held.get(&of).cloned().unwrap_or_else(|| "calendar".into());
+        match order {
+            Order::Watch if of != HOME => {
+                let manner = self.manners[&name].clone();
+                match manner.list {
+                    Some(after) => self.at(after, Ev::List(of)),
+                    None if manner.torn => self.at(20, Ev::Lost(of)),
+                    None => {}
+                }
+            }
+            Order::Pick { id, pick, node, by, .. } => {
+                let manner = &self.manners[&name];
+                let (takes, saw) = (manner.takes, manner.saw);
+                let build = manner.nodes.iter().find(|n| n.port == node.port()).map_or(0, |n| n.build);
+                let rpc = self.rpcs.get_mut(id).unwrap();
+                assert!(
+                    rpc.service == name && rpc.answers.is_empty() && !rpc.left,
+                    "RPC {id} picked after its end"
+                );
+                (rpc.picks, _) = (rpc.picks + 1, rpc.out.insert(*pick));
+                let story = self.stories.entry(name.clone()).or_default();
+                story.picks.push((self.now, build, node.port()));
+                if rpc.tokened {
+                    story.tokens = self.now + ms(5000);
+                }
+                self.exposure(&name, build);
+                let late = self.now + ms(takes) > *by;
+                let after = if late { by.saturating_sub(self.now).as_millis() as u64 } else { takes };
+                self.at(after, Ev::Ended(*id, *pick, if late { Saw::TimedOut } else { saw }));
+            }
+            Order::Sever { id, pick } => self.at(0, Ev::Ended(*id, *pick, Saw::Severed)),
+            Order::Pass { id, build, .. } => {
+                // A key has met the build on trial.
+                let trial = self.manners[&name].stage.course == Course::OnTrial;
+                self.stories.entry(name.clone()).or_default().keys |= trial && *build > 1;
+                self.answer(*id, "ok", None);
+            }
+            Order::PushBack { id, retry_after, .. } => self.answer(*id, "pushed back", *retry_after),
+            Order::Abort { id, .. } => self.answer(*id, "aborted", None),
+            Order::Reject { id, .. } => self.answer(*id, "rejected", None),
+            _ => {}
+        }
+    }
+
+    /// Law: over all holdings together, exposure is `free` and the cap's part of the RPCs of a window.
+    fn exposure(&self, name: &str, build: u32) {
+        let (story, stage) = (&self.stories[name], &self.manners[name].stage);
+        // Where the desk is silent the oldest build listed counts as released, here as at any start.
+        let silent = self.manners[name].desk.is_none();
+        if stage.course != Course::OnTrial || build != stage.build || silent {
+            return;
+        }
+        let lately = |at: &&Duration| **at + self.window > self.now;
+        let sent = story.picks.iter().filter(|p| p.1 == build).map(|p| &p.0).filter(lately).count() as f64;
+        let taken = story.taken.iter().filter(lately).count() as f64;
+        assert!(sent <= self.free + stage.cap * taken, "{name}: {sent} exposed of {taken}");
+    }
+
+    fn answer(&mut self, id: Id, word: &'static str, back: Option<Duration>) {
+        let (now, rpc) = (self.now, self.rpcs.get_mut(&id).unwrap());
+        assert!(rpc.answers.is_empty(), "RPC {id}: {word} after {:?}", rpc.answers);
+        assert!(now <= rpc.by, "RPC {id} is answered {:?} too late", now - rpc.by);
+        rpc.answers.push((word, back));
+    }
+
+    fn laws(&self) {
+        let held: Vec<_> = self.services.held().collect();
+        assert!(held.len() <= self.most, "{} held of {}", held.len(), self.most);
+        assert!(held.iter().all(|h| self.held[&h.of] == *h.service) && held.len() == self.held.len());
+        assert_eq!(self.services.bytes(), held.iter().map(|h| h.bytes).sum::<usize>());
+        let waiting = self.rpcs.values().filter(|r| r.answers.is_empty() && !r.left || !r.out.is_empty());
+        assert_eq!(self.services.counts().held, waiting.count(), "RPCs in hand");
+    }
+
+    pub fn rpc(&mut self, method: &str, left: u64, key: Option<u64>) -> Id {
+        self.next += 1;
+        let id = self.next;
+        let (service, what) = method.split_once('-').unwrap();
+        let (service, tokened) = (service.to_owned(), what == "save");
+        let (at, by) = (self.now, self.now + ms(left.min(3000)));
+        let (answers, out) = (vec![], BTreeSet::new());
+        self.rpcs
+            .insert(id, Seen { service: service.clone(), by, answers, out, picks: 0, tokened, left: false });
+        self.stories.entry(service).or_default().taken.push(at);
+        let call = Call { method, tenant: None, key, tokened: true, left: Some(ms(left)), repeated: false };
+        self.feed(HOME, Input::Rpc { id, call });
+        id
+    }
+
+    pub fn leave(&mut self, id: Id) {
+        let Some(rpc) = self.rpcs.get_mut(&id).filter(|r| r.answers.is_empty()) else { return };
+        rpc.left = true;
+        self.feed(HOME, Input::ClientLeft { id });
+    }
+
+    pub fn list(&mut self, name: &str) {
+        if let Some(of) = self.hold(name) {
+            self.feed_list(of);
+        }
+    }
+
+    fn feed_list(&mut self, of: Hold) {
+        // What was asked for by an earlier holding comes all the same.
+        let name = self.held.get(&of).cloned();
+        let name = name.unwrap_or_else(|| self.manners.keys().next().unwrap().clone());
+        let nodes = self.manners[&name].nodes.clone();
+        let held = self.held.contains_key(&of);
+        let said = self.feed(of, Input::List(&nodes));
+        assert!(held || said.is_empty(), "a dropped service's list had an effect: {said:?}");
+    }
+
+    fn play(&mut self, ev: Ev) {
+        match ev {
+            Ev::List(of) => {
+                self.feed_list(of);
+                if let Some(again) = self.again.filter(|_| self.held.contains_key(&of)) {
+                    self.at(again, Ev::List(of));
+                }
+            }
+            Ev::Lost(of) => drop(self.feed(of, Input::ListLost)),
+            Ev::News(of) => {
+                let Some(stage) = self.held.get(&of).map(|name| self.manners[name].stage) else { return };
+                let news = News { index: 1, stage: Some(stage), sums: vec![], disputed: vec![] };
+                self.feed(of, Input::News(&news));
+            }
+            Ev::Ended(id, pick, saw) => {
+                if self.rpcs.get_mut(&id).is_some_and(|r| r.out.remove(&pick)) {
+                    self.feed(HOME, Input::Ended { id, pick, saw });
+                }
+            }
+        }
+    }
+
+    pub fn news(&mut self, name: &str) {
+        if let Some(of) = self.hold(name) {
+            self.play(Ev::News(of));
+        }
+    }
+
+    pub fn lose_list(&mut self, name: &str) {
+        if let Some(of) = self.hold(name) {
+            self.play(Ev::Lost(of));
+        }
+    }
+
+    pub fn hold(&self, name: &str) -> Option<Hold> {
+        self.held.iter().find(|h| h.1 == name).map(|h| *h.0)
+    }
+
+    /// Lets time pass, with all that comes due in it.
+    pub fn pass(&mut self, span: u64) {
+        let until = self.now + ms(span);
+        while self.now < until {
+            let due = self.services.due().max(self.now + Duration::from_micros(50));
+            let event = self.queue.first_key_value().map(|e| *e.0);
+            match event.filter(|e| e.0 <= due.min(until)) {
+                Some(at) => {
+                    self.now = at.0.max(self.now);
+                    let ev = self.queue.remove(&at).unwrap();
+                    self.play(ev);
+                }
+                None => {
+                    self.now = due.min(until);
+                    self.ticks += u64::from(due <= until);
+                    self.feed(HOME, Input::Tick);
+                    // Law: more bytes than the bound are held only by services of which something is open.
+                    let over = self.services.bytes() > self.bytes;
+                    let may = || self.held.values().find(|name| self.may_go(name));
+                    assert!(
+                        !over || may().is_none(),
+                        "{} bytes, and {:?} may go",
+                        self.services.bytes(),
+                        may()
+                    );
+                }
+            }
+        }
+    }
+
+    pub fn renew(&mut self, terms: Terms) -> Result<(), String> {
+        let (most, bytes) = (terms.services.most, terms.services.bytes);
+        self.services.renew(terms)?;
+        (self.most, self.bytes) = (self.most.max(most), bytes);
+        Ok(())
+    }
+
+    pub fn answer_of(&self, id: Id) -> &'static str {
+        self.rpcs[&id].answers.first().map_or("", |a| a.0)
+    }
+
+    /// Every RPC has its one answer, or its client has left.
+    pub fn all_answered(&self) {
+        for (id, rpc) in &self.rpcs {
+            assert!(rpc.answers.len() == 1 || rpc.left, "RPC {id} of {}: {:?}", rpc.service, rpc.answers);
+        }
+    }
+}
--- /dev/null
+++ b/crates/marshal/tests/services/main.rs
@@ -0,0 +1,295 @@
+//! Many services in one marshal: cases one by one, then seeded mixes. The laws are in `bed.rs`.
+
+mod accounts;
+mod bed;
+#[path = "../listed/mod.rs"]
+mod listed;
+mod mixes;
+
+use std::collections::BTreeMap;
+
+use bed::*;
+use ivydrift_marshal::{Call, Core, Dropped, Input, Order, Said, Services, HOME};
+use ivydrift_wire::desk::{Course, News, Stage};
+use ivydrift_wire::list::Listed;
+use listed::node;
+
+fn nodes(service: usize, count: u16, build: u32) -> Vec<Listed> {
+    (0..count).map(|n| node(10_000 + 10 * service as u16 + n, build)).collect()
+}
+
+fn manners(count: usize) -> BTreeMap<String, Manner> {
+    names(count).into_iter().enumerate().map(|(n, name)| (name, Manner::plain(nodes(n, 3, 1)))).collect()
+}
+
+fn bed(count: usize, block: &str) -> Bed {
+    Bed::new(terms(&names(count), block, ""), manners(count))
+}
+
+#[test]
+fn a_marshal_of_one_service_does_what_a_core_does_to_the_digit() {
+    let terms = ivydrift_terms::read("example.hcl", ivydrift_terms::EXAMPLE).unwrap();
+    let (mut core, mut many) = (Core::new(terms.clone(), 0), Services::new(terms, 0));
+    let mut now = ms(86_400_000);
+    let mut both = |now, input: Input| {
+        let wanted = core.handle(now, input);
+        let said = many.handle(now, HOME, input);
+        let order = |s| match s {
+            Said::Order { of: HOME, order } => order,
+            other => panic!("{other:?}"),
+        };
+        assert_eq!(said.into_iter().map(order).collect::<Vec<_>>(), wanted);
+        assert_eq!((many.due(), many.counts(), many.ready()), (core.due(), core.counts(), core.ready()));
+        (wanted, core.due())
+    };
+    let stage = Stage { build: 2, stage: 0, course: Course::OnTrial, cap: 0.3, age_ms: 50 };
+    both(now, Input::List(&[nodes(0, 4, 1), nodes(1, 2, 2)].concat()));
+    both(now, Input::News(&News { index: 1, stage: Some(stage), sums: vec![], disputed: vec![] }));
+    let mut out = vec![];
+    for id in 1..400 {
+        let method = ["calendar-read", "calendar-save", "pickup-book", "nothing"][id as usize % 4];
+        let (tokened, left) = (id % 3 > 0, Some(ms(40 + id * 7 % 900)));
+        let call = Call { method, tenant: None, key: Some(id % 9), tokened, left, repeated: false };
+        let (mut orders, mut due) = both(now, Input::Rpc { id, call });
+        for _ in 0..1 + id % 5 {
+            out.extend(orders.iter().filter_map(|o| match o {
+                Order::Pick { id, pick, .. } | Order::Sever { id, pick } => Some((*id, *pick)),
+                _ => None,
+            }));
+            now = due.max(now + ms(id % 7));
+            (orders, due) = both(now, Input::Tick);
+        }
+        if id % 2 == 0 {
+            for (id, pick) in out.drain(..out.len().min(3)) {
+                let saw = [OK, ERROR, FULL, OK][(id % 4) as usize];
+                both(now, Input::Ended { id, pick, saw });
+            }
+        }
+        match id % 50 {
+            7 => drop(both(now, Input::ListLost)),
+            9 => drop(both(now, Input::ClientLeft { id })),
+            11 => drop(both(now, Input::List(&nodes(0, 3, 1)))),
+            13 => drop(both(now, Input::List(&[nodes(0, 4, 1), nodes(1, 2, 2)].concat()))),
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn a_service_comes_with_its_first_rpc_rests_and_returns() {
+    let mut bed = bed(3, "most = 2\n  rest = \"8s\"");
+    assert!(bed.held.is_empty(), "nothing is held before anybody asks");
+    let first = bed.rpc("s0-read", 2000, None);
+    assert_eq!(bed.answer_of(first), "", "it waits for the list");
+    bed.pass(200);
+    assert_eq!((bed.answer_of(first), bed.rpcs[&first].picks), ("ok", 1));
+    // RPCs run on for longer than the rest: it stays.
+    for _ in 0..30 {
+        let id = bed.rpc("s0-read", 1000, None);
+        bed.pass(400);
+        assert_eq!(bed.answer_of(id), "ok");
+    }
+    let (of, last) = (bed.hold("s0").unwrap(), bed.now - ms(400));
+    bed.pass(7_500);
+    assert_eq!(bed.hold("s0"), Some(of), "before its rest is over");
+    bed.pass(1_000);
+    assert_eq!(bed.dropped, [(last + ms(8_000), "s0".into(), Dropped::Rested)]);
+    let back = bed.rpc("s0-read", 2000, None);
+    bed.pass(200);
+    assert_eq!(bed.answer_of(back), "ok");
+    assert!(bed.hold("s0").unwrap() > of, "another holding: what is on its way to the first is of no effect");
+}
+
+#[test]
+fn a_first_rpc_whose_list_is_silent_torn_or_empty_is_pushed_back_in_time() {
+    for (list, torn, listed) in
+        [(None, false, 3), (None, true, 3), (Some(2500), false, 3), (Some(20), false, 0)]
+    {
+        let mut bed = bed(2, "most = 1\n  rest = \"8s\"");
+        let manner = bed.manners.get_mut("s0").unwrap();
+        (manner.list, manner.torn, manner.nodes) = (list, torn, nodes(0, listed, 1));
+        let ids: Vec<_> = ["s0-read", "s0-save", "s0-book"].map(|m| bed.rpc(m, 1000, None)).into();
+        bed.pass(1000);
+        for id in ids {
+            let [(word, back)] = bed.rpcs[&id].answers[..] else { panic!("no answer") };
+            assert!(word == "pushed back" && back.is_some_and(|b| !b.is_zero()), "{word} {back:?}");
+        }
+        // It is the first to leave, though it was used last but a moment ago.
+        bed.rpc("s1-read", 1000, None);
+        assert_eq!(bed.dropped.last().map(|d| (&d.1[..], d.2)), Some(("s0", Dropped::ForAnother)));
+    }
+}
+
+#[test]
+fn a_desk_that_is_silent_delays_a_first_rpc_no_longer_than_a_marshal_s_start() {
+    let mut bed = bed(1, "most = 1");
+    bed.manners.get_mut("s0").unwrap().desk = None;
+    let early = bed.rpc("s0-read", 1000, None);
+    bed.pass(2100);
+    let later = bed.rpc("s0-read", 1000, None);
+    bed.pass(100);
+    assert_eq!((bed.answer_of(early), bed.answer_of(later)), ("pushed back", "ok"));
+}
+
+#[test]
+fn five_hundred_services_in_turn_with_room_for_fifty() {
+    let mut bed = bed(500, "most = 50\n  rest = \"60s\"");
+    let mut ids = vec![];
+    for round in 0..1000 {
+        ids.push(bed.rpc(&format!("s{}-read", round % 500), 2000, None));
+        bed.pass(100);
+    }
+    bed.pass(2000);
+    assert!(
+        ids.iter().all(|id| bed.answer_of(*id) == "ok"),
+        "LRU with all accounts passed: none is pushed back"
+    );
+    assert_eq!((bed.held.len(), bed.dropped.len()), (50, 950));
+    assert!(bed.dropped.iter().all(|d| d.2 == Dropped::ForAnother));
+    // The least lately used left first.
+    let left: Vec<_> = bed.dropped.iter().map(|d| d.1.clone()).collect();
+    assert_eq!(left, (0..950).map(|n| format!("s{}", n % 500)).collect::<Vec<_>>());
+}
+
+#[test]
+fn no_room_and_nothing_that_may_go_is_a_push_back_at_once() {
+    let mut bed = bed(3, "most = 2");
+    bed.manners.values_mut().for_each(|m| m.takes = 400);
+    bed.rpc("s0-read", 2000, None);
+    bed.rpc("s1-read", 2000, None);
+    bed.pass(50);
+    let third = bed.rpc("s2-read", 2000, None);
+    let [("pushed back", Some(back))] = bed.rpcs[&third].answers[..] else { panic!("not at once") };
+    assert!(back > ms(0) && back <= ms(2000));
+    assert!(bed.dropped.is_empty() && bed.hold("s2").is_none(), "what has no room leaves no trace");
+    // Their RPCs have ended, the window of exposure runs: still no room. Once it has passed there is.
+    bed.pass(2000);
+    let early = bed.rpc("s2-read", 2000, None);
+    assert_eq!(bed.answer_of(early), "pushed back");
+    bed.pass(2500);
+    let fourth = bed.rpc("s2-read", 2000, None);
+    bed.pass(1000);
+    assert_eq!((bed.answer_of(fourth), bed.dropped.len()), ("ok", 1));
+    bed.all_answered();
+}
+
+#[test]
+fn invented_names_grow_nothing_and_a_list_that_does_not_fit_is_refused() {
+    let mut bed = bed(3, "most = 3\n  rest = \"60s\"\n  kib = 400");
+    for n in 0..2000 {
+        let id = bed.rpc(&format!("nobody-{n}"), 1000, None);
+        assert_eq!(bed.answer_of(id), "rejected");
+    }
+    assert!(bed.held.is_empty() && bed.services.bytes() == 0);
+    bed.manners.get_mut("s1").unwrap().nodes = (0..3000).map(|n| node(20_000 + n, 1)).collect();
+    let first = bed.rpc("s0-read", 1000, None);
+    bed.pass(100);
+    let large = bed.rpc("s1-read", 1000, None);
+    bed.pass(100);
+    let more = bed.rpc("s1-read", 1000, None);
+    assert_eq!(bed.answer_of(more), "pushed back", "known to find no room");
+    bed.pass(2000);
+    assert_eq!((bed.answer_of(first), bed.answer_of(large)), ("ok", "pushed back"));
+    assert!(bed.hold("s0").is_some(), "what cannot help is not dropped for it");
+    assert_eq!(bed.dropped.iter().map(|d| (&d.1[..], d.2)).collect::<Vec<_>>(), [("s1", Dropped::NoRoom)]);
+    // A service in use is always told its list, who drains must be known; others make room as far as they may.
+    bed.rpc("s2-read", 1000, None);
+    bed.pass(4000);
+    bed.manners.get_mut("s2").unwrap().nodes = (0..3000).map(|n| node(20_000 + n, 1)).collect();
+    bed.list("s2");
+    assert_eq!(bed.dropped.last().map(|d| (&d.1[..], d.2)), Some(("s0", Dropped::ForAnother)));
+    let said = bed.services.held().next().unwrap();
+    assert_eq!((&*said.service, said.ready), ("s2", 3000));
+    let other = bed.rpc("s0-read", 1000, None);
+    assert_eq!(bed.answer_of(other), "", "the one that is too large has nothing open, and leaves");
+}
+
+#[test]
+fn a_service_at_rest_costs_a_look_in_seconds_and_wakes_at_once() {
+    let mut bed = bed(1, "most = 1\n  rest = \"1h\"");
+    bed.again = Some(10_000);
+    bed.rpc("s0-read", 1000, None);
+    bed.pass(30_000);
+    bed.ticks = 0;
+    let said = bed.said.len();
+    bed.pass(60_000);
+    // Its own beats are 12, and 4 after each of 6 lists; those of `places.service` are 10 a second.
+    let lists = bed.said[said..].iter().filter(|s| !matches!(s.1, Said::Order { of: HOME, .. })).count();
+    assert!(bed.ticks < 600 + 60 && lists == 0, "{} ticks, {lists} orders", bed.ticks);
+    assert!(bed.services.held().all(|h| h.asleep));
+    let id = bed.rpc("s0-read", 1000, None);
+    assert_eq!(bed.rpcs[&id].picks, 1, "sent at once");
+    bed.pass(60_000);
+    assert!(bed.services.held().all(|h| h.asleep));
+    // A list that is lost is asked for again in the module's time, not at the slow beat.
+    bed.pass(2_000);
+    bed.lose_list("s0");
+    let (at, said) = (bed.now, bed.said.len());
+    bed.pass(4000);
+    let again = bed.said[said..]
+        .iter()
+        .find(|s| matches!(s.1, Said::Order { of, order: Order::Watch } if of != HOME));
+    assert!(again.is_some_and(|s| s.0 - at < ms(3000)), "{again:?}");
+    // On trial it does not sleep: votes are due.
+    bed.manners.get_mut("s0").unwrap().stage = on_trial(2, 0.2);
+    bed.news("s0");
+    bed.pass(60_000);
+    assert!(bed.services.held().all(|h| !h.asleep));
+}
+
+#[test]
+fn new_terms_add_and_remove_services_and_methods_under_load() {
+    let all = |services: &[String]| terms(services, "most = 3\n  rest = \"60s\"", "");
+    let mut bed = bed(3, "most = 3\n  rest = \"60s\"");
+    bed.manners.values_mut().for_each(|m| m.takes = 300);
+    bed.renew(all(&names(2))).unwrap();
+    let unknown = bed.rpc("s2-read", 1000, None);
+    assert_eq!(bed.answer_of(unknown), "rejected");
+    let ids: Vec<_> = (0..40)
+        .map(|n| {
+            let id = bed.rpc(["s0-read", "s1-save", "s0-book", "calendar-read"][n % 4], 2000, None);
+            bed.pass(20);
+            id
+        })
+        .collect();
+    // s0 goes, s2 comes, while picks of both are out.
+    bed.renew(all(&["s1".to_owned(), "s2".to_owned()])).unwrap();
+    let gone = bed.rpc("s0-read", 1000, None);
+    let new = bed.rpc("s2-read", 1000, None);
+    bed.pass(600);
+    assert_eq!((bed.answer_of(gone), bed.answer_of(new)), ("rejected", "ok"));
+    bed.pass(2000);
+    let ends: Vec<_> =
+        ids.iter().filter(|id| bed.rpcs[id].service != "calendar").map(|id| bed.answer_of(*id)).collect();
+    assert!(ends.iter().all(|e| *e == "ok"), "RPCs in hand end as they would have: {ends:?}");
+    assert!(bed.hold("s0").is_some(), "its accounts are open");
+    // It comes back before they have passed: the same holding, with its accounts.
+    let of = bed.hold("s0");
+    bed.renew(all(&names(3))).unwrap();
+    let back = bed.rpc("s0-read", 1000, None);
+    bed.pass(400);
+    assert_eq!((bed.answer_of(back), bed.hold("s0")), ("ok", of));
+    bed.renew(all(&names(1)[..0])).unwrap();
+    bed.pass(6000);
+    assert_eq!(bed.dropped.len(), 3);
+    assert!(bed.dropped.iter().all(|d| d.2 == Dropped::NotNamed) && bed.services.bytes() == 0);
+    bed.all_answered();
+}
+
+#[test]
+fn the_name_of_places_service_cannot_become_that_of_one_held_beside_it() {
+    let mut bed = bed(2, "most = 3\n  rest = \"60s\"");
+    bed.rpc("s0-read", 1000, None);
+    bed.pass(100);
+    let renamed = |to: &str| {
+        let mut new = terms(&names(2), "most = 3", "");
+        new.places.service = to.to_owned();
+        new
+    };
+    let why = bed.renew(renamed("s0")).unwrap_err();
+    assert!(why.contains("places.service cannot change from \"calendar\" to \"s0\""), "{why}");
+    let id = bed.rpc("s1-read", 1000, None);
+    bed.pass(100);
+    assert_eq!(bed.answer_of(id), "ok", "the earlier terms stay");
+    bed.renew(renamed("other")).unwrap();
+}
