--- /dev/null
+++ b/crates/subset/examples/options.rs
@@ -0,0 +1,163 @@
+//! Ways to take subsets, beside one another: evenness and churn at 3,700 marshals and lists of four sizes.
+//! `cargo run --release -p ivydrift-subset --example options`
+
+use ivydrift_subset::{choose, Fleet, Node, HOLDERS, LEAST};
+
+const MARSHALS: usize = 3700;
+
+fn mix(x: u64) -> u64 {
+    let x = (x ^ x >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ x >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ x >> 31
+}
+
+fn hash(a: u64, b: u64) -> u64 {
+    mix(mix(a.wrapping_add(0x9e37_79b9_7f4a_7c15)) ^ (b + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15))
+}
+
+fn shuffled(ids: &[u32], seed: u64) -> Vec<u32> {
+    let mut ids = ids.to_vec();
+    (1..ids.len()).rev().for_each(|i| ids.swap(i, hash(seed, i as u64) as usize % (i + 1)));
+    ids
+}
+
+fn ordered(ids: &[u32], seed: u64) -> Vec<u32> {
+    let mut ids = ids.to_vec();
+    ids.sort_by_cached_key(|id| hash(u64::from(*id), seed << 32));
+    ids
+}
+
+fn window(ring: &[u32], at: f64, k: usize) -> Vec<u32> {
+    let first = (at * ring.len() as f64) as usize;
+    (0..k).map(|i| ring[(first + i) % ring.len()]).collect()
+}
+
+fn corput(mut i: u64) -> f64 {
+    let (mut part, mut sum) = (0.5, 0.0);
+    while i > 0 {
+        sum += part * (i % 2) as f64;
+        (part, i) = (part / 2.0, i / 2);
+    }
+    sum
+}
+
+type Way = fn(&[u32], usize, usize) -> Vec<Vec<u32>>;
+
+fn random(ids: &[u32], marshals: usize, k: usize) -> Vec<Vec<u32>> {
+    let of = |m| shuffled(ids, 1 << 40 | m as u64).into_iter().take(k).collect();
+    (0..marshals).map(of).collect()
+}
+
+/// Google SRE book, chapter 20.
+fn rounds(ids: &[u32], marshals: usize, k: usize) -> Vec<Vec<u32>> {
+    let lot = (ids.len() / k).max(1);
+    let mut all = Vec::new();
+    for round in 0..marshals.div_ceil(lot) {
+        let nodes = shuffled(ids, round as u64);
+        all.extend((0..lot).map(|i| nodes[i * k..(i + 1) * k].to_vec()));
+    }
+    all.truncate(marshals);
+    all
+}
+
+/// Low-discrepancy rings, a lot of marshals on each.
+fn rings(ids: &[u32], marshals: usize, k: usize) -> Vec<Vec<u32>> {
+    let lot = (ids.len() / k).max(1).next_power_of_two();
+    let rings: Vec<Vec<u32>> = (0..marshals.div_ceil(lot)).map(|r| ordered(ids, r as u64)).collect();
+    (0..marshals).map(|m| window(&rings[m / lot], corput((m % lot) as u64), k)).collect()
+}
+
+/// Each marshal ranks the nodes.
+fn rendezvous(ids: &[u32], marshals: usize, k: usize) -> Vec<Vec<u32>> {
+    let of = |m: usize| {
+        let mut ranked: Vec<(u64, u32)> =
+            ids.iter().map(|id| (hash(u64::from(*id), m as u64), *id)).collect();
+        if ranked.len() > k {
+            ranked.select_nth_unstable(k);
+        }
+        ranked.into_iter().take(k).map(|r| r.1).collect()
+    };
+    (0..marshals).map(of).collect()
+}
+
+/// Nodes and marshals at hashed points of one ring, as with Maglev's forerunners.
+fn consistent(ids: &[u32], marshals: usize, k: usize) -> Vec<Vec<u32>> {
+    let ring = ordered(ids, 0);
+    let points: Vec<u64> = ring.iter().map(|id| hash(u64::from(*id), 0)).collect();
+    let of = |m: usize| {
+        let first = points.partition_point(|p| *p < hash(1 << 50, m as u64));
+        (0..k).map(|i| ring[(first + i) % ring.len()]).collect()
+    };
+    (0..marshals).map(of).collect()
+}
+
+/// Deterministic aperture: one ring of nodes in order, marshals evenly round it.
+fn aperture(ids: &[u32], marshals: usize, k: usize) -> Vec<Vec<u32>> {
+    let ring = ordered(ids, 0);
+    (0..marshals).map(|m| window(&ring, m as f64 / marshals as f64, k)).collect()
+}
+
+fn ours(ids: &[u32], marshals: usize, _: usize) -> Vec<Vec<u32>> {
+    let node = |id: &u32| Node { name: u64::from(*id), zone: 0, new: false, ready: true };
+    let nodes: Vec<Node> = ids.iter().map(node).collect();
+    let of = |m| {
+        let held = choose(&Fleet::new(m, marshals, 0, &[], &[]), &nodes, LEAST).held;
+        ids.iter().zip(held).filter(|(_, h)| *h).map(|(id, _)| *id).collect()
+    };
+    (0..marshals).map(of).collect()
+}
+
+/// Links that are new, those of the first so many marshals.
+fn gained(before: &[Vec<u32>], after: &[Vec<u32>]) -> usize {
+    let new = |(b, a): (&Vec<u32>, &Vec<u32>)| {
+        let b: std::collections::HashSet<&u32> = b.iter().collect();
+        a.iter().filter(|id| !b.contains(id)).count()
+    };
+    before.iter().zip(after).map(new).sum()
+}
+
+fn main() {
+    let ways: [(&str, Way); 7] = [
+        ("random, by places in the list", random),
+        ("deterministic rounds (SRE book)", rounds),
+        ("low-discrepancy rings, by lots", rings),
+        ("rendezvous, marshals rank nodes", rendezvous),
+        ("consistent ring", consistent),
+        ("deterministic aperture", aperture),
+        ("rendezvous, nodes rank marshals", ours),
+    ];
+    println!(
+        "| nodes | way | nodes a marshal | worst share | least share | holders | node gone | marshal gone |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- |");
+    for count in [16u32, 300, 3000, 44_000] {
+        let ids: Vec<u32> = (0..count).collect();
+        let k = LEAST.max((HOLDERS * ids.len()).div_ceil(MARSHALS)).min(ids.len());
+        for (name, way) in ways {
+            let before = way(&ids, MARSHALS, k);
+            let (mut share, mut holders) = (vec![0.0; ids.len()], vec![0; ids.len()]);
+            for held in &before {
+                held.iter().for_each(|id| {
+                    share[*id as usize] += ids.len() as f64 / MARSHALS as f64 / held.len() as f64;
+                    holders[*id as usize] += 1;
+                });
+            }
+            let links: usize = before.iter().map(Vec::len).sum();
+            let one_less: Vec<u32> = ids.iter().copied().filter(|id| *id != count / 3).collect();
+            let node = gained(&before, &way(&one_less, MARSHALS, k.min(one_less.len())));
+            let marshal = gained(&before, &way(&ids, MARSHALS - 1, k));
+            let (most, least) =
+                (share.iter().copied().fold(0.0, f64::max), share.iter().copied().fold(9.0, f64::min));
+            let sizes = (before.iter().map(Vec::len).min(), before.iter().map(Vec::len).max());
+            println!(
+                "| {count} | {name} | {} to {} | {most:.2} | {least:.2} | {} to {} | {:.2} | {:.2} |",
+                sizes.0.unwrap_or(0),
+                sizes.1.unwrap_or(0),
+                holders.iter().min().unwrap_or(&0),
+                holders.iter().max().unwrap_or(&0),
+                node as f64 / (links as f64 / ids.len() as f64),
+                marshal as f64 / (links as f64 / MARSHALS as f64),
+            );
+        }
+    }
+}
