policy: shares, places and cold budgets reckoned from a part of the list (port::Sight)

A marshal that is told a part of the nodes would take it for the fleet. Event::Sight says what part of each arm is told and what part of the marshals hold a node of it; the default, all told to all, divides by 1.0 and leaves each decision as it was.

--- a/crates/policy/src/policy/choose.rs
+++ b/crates/policy/src/policy/choose.rs
@@ -21,7 +21,7 @@
         // Rehearsal in the last stage beside earlier machines: each new node gets the load of the release. In
         // a crowd idle nodes would stand beside RPCs pushed back. Harms where the new nodes are too few.
         let rehearsal = cx.now >= self.relief && self.last_stage(cx);
-        let [old, new] = self.weights;
+        let [old, new] = self.fleet;
         let whole = if rehearsal { new.max(old) } else { new + old };
         // Nothing falls due to a build that gets nothing: many marshals would make it good all at once.
         let share = if self.starved { 0.0 } else { new / whole.max(1e-9) };
--- a/crates/policy/src/policy/front.rs
+++ b/crates/policy/src/policy/front.rs
@@ -97,7 +97,7 @@
                 }
             }
             Note::Beat if cx.now >= self.counted + LOOK => {
-                let power = (self.weights[0] + self.weights[1]).max(1.0);
+                let power = (self.fleet[0] + self.fleet[1]).max(1.0);
                 let step = (cx.now - self.counted).as_secs_f64().min(SERVED_OVER);
                 // Where nothing could be sent nothing was learnt, or cold nodes alone would stay barred.
                 if self.out(cx) + self.oks > 0.0 || !std::mem::take(&mut self.barred) {
--- a/crates/policy/src/policy/gate.rs
+++ b/crates/policy/src/policy/gate.rs
@@ -68,7 +68,7 @@
             return true;
         }
         let least = law.present(age.saturating_sub(law.fall_window));
-        let budget = law.fall_budget * least * self.served * power(entry);
+        let budget = law.fall_budget * least * self.served * power(entry) / cx.sight.holders(entry.build);
         let window = (age.as_secs_f64() / law.fall_window.as_secs_f64().max(0.001) + law.phase) as u64;
         let lot = lot(law.seed, 1 << 63 | (entry.node as u64) << 32 | window);
         let used = recent(self.cold_sent.get(&entry.node), cx.now, law.fall_window);
--- a/crates/policy/src/policy/judge.rs
+++ b/crates/policy/src/policy/judge.rs
@@ -97,7 +97,7 @@
         self.newest = build;
         self.sums = Pair::default();
         self.strain = Strain::default();
-        self.places = self.books.iter().filter(|b| b.ready && b.entry.build < build).count() as f64;
+        self.places = self.older(build);
     }
 
     /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble of a
--- a/crates/policy/src/policy/vote.rs
+++ b/crates/policy/src/policy/vote.rs
@@ -43,11 +43,11 @@
         // Where few of many marshals can send a build back, each must be the surer: any of them may err.
         let delta = DELTA * cx.law.back_part;
         let worse = |part: f64| asked.iter().position(|(p, m, v)| below(p[0], p[1], *m, part, *v, delta));
-        let sound_nodes = self.books.iter().filter(|b| b.ready && !b.ill).count() as f64;
+        let sound_nodes = self.sound();
         // Before all of the stage's machines run, the test would clear it at an earlier stage's traffic.
         let runs = cx.now >= self.begun(news, cx);
         let apart = runs && !self.alone() && sound_nodes >= WHOLE * self.places;
-        let lost = ((self.ready(false) + nodes) as f64) < WHOLE * self.places;
+        let lost = ((self.ready(false) + self.ready(true)) as f64) < WHOLE * self.places;
         let trial = Some((news.build, news.stage)).filter(|_| !released);
         let (held, shared) =
             trial.map_or((false, false), |t| self.strain.weigh(cx.now, t, nodes, [apart, lost], strain));
--- a/crates/policy/src/port.rs
+++ b/crates/policy/src/port.rs
@@ -155,6 +155,35 @@
     pub build: Build,
 }
 
+/// What the module is told of a list too large for it: a part of the nodes. By arm, the earlier builds' first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sight {
+    /// The newest build listed; all others are the earlier arm's.
+    pub newest: Build,
+    /// The part of the arm's ready nodes that is told.
+    pub seen: [f64; 2],
+    /// The part of all marshals that are told of a node of the arm.
+    pub holders: [f64; 2],
+}
+
+impl Default for Sight {
+    /// All are told to all.
+    fn default() -> Self {
+        Sight { newest: 0, seen: [1.0; 2], holders: [1.0; 2] }
+    }
+}
+
+impl Sight {
+    /// The part of the nodes of a build's arm that is told.
+    pub fn seen(&self, build: Build) -> f64 {
+        self.seen[usize::from(build == self.newest)]
+    }
+    /// The part of all marshals that are told of a node of a build.
+    pub fn holders(&self, build: Build) -> f64 {
+        self.holders[usize::from(build == self.newest)]
+    }
+}
+
 /// How much of the list an indication carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
@@ -230,6 +259,8 @@
         scope: Scope,
         nodes: Vec<NodeEntry>,
     },
+    /// Said before the nodes that it speaks of; never where all are told.
+    Sight(Sight),
     Rpc {
         rpc: RpcIx,
         method: usize,
--- a/crates/policy/src/state/front.rs
+++ b/crates/policy/src/state/front.rs
@@ -85,6 +85,8 @@
     pub stale: bool,
     /// What the nodes of each arm can do at present, at the least.
     pub weights: [f64; 2],
+    /// The same of all that are listed, where only a part is told.
+    pub fleet: [f64; 2],
     /// The part of that on cold nodes, which come first in `arms`, and how many those are.
     pub cold: [f64; 2],
     pub chill: [usize; 2],
@@ -133,7 +135,7 @@
     }
     /// The part of the fleet's power that runs the newest build.
     pub fn lent(&self) -> f64 {
-        self.weights[1] / (self.weights[0] + self.weights[1]).max(1e-9)
+        self.fleet[1] / (self.fleet[0] + self.fleet[1]).max(1e-9)
     }
 
     pub fn out(&self, cx: &Cx) -> f64 {
@@ -168,7 +170,9 @@
         self.weights = [0, 1].map(|arm: usize| self.arms[arm].iter().map(weigh).sum());
         let cold = |arm: usize| self.arms[arm][..self.chill[arm]].iter().map(weigh).sum();
         self.cold = [cold(0), cold(1)];
-        self.fair = (self.weights[0] + self.weights[1]) / cx.law.marshals;
+        let whole = |node| weigh(node) / cx.sight.seen(entry(node).build);
+        self.fleet = [0, 1].map(|arm: usize| self.arms[arm].iter().map(whole).sum());
+        self.fair = (self.fleet[0] + self.fleet[1]) / cx.law.marshals;
         self.stale = false;
     }
 }
--- a/crates/policy/src/state/judge.rs
+++ b/crates/policy/src/state/judge.rs
@@ -7,6 +7,8 @@
 #[derive(Default)]
 pub struct Judge {
     pub books: Vec<Book>,
+    /// What part of the list they are.
+    pub sight: Sight,
     /// What older builds did on nodes that are gone, by kind and method.
     pub past: Vec<Ledger>,
     /// What the earlier build did before the present trial.
@@ -60,6 +62,7 @@
             let blank = Book { methods: vec![Ledger::default(); cx.law.duties.len()], ..Book::default() };
             self.books.resize(card.entry.node + 1, blank);
         }
+        self.sight = cx.sight;
         let book = &mut self.books[card.entry.node];
         let fresh = (book.entry.build, book.entry.started) != (card.entry.build, card.entry.started);
         if fresh || card.ready != book.ready {
@@ -94,9 +97,25 @@
         self.sums.iter_mut().for_each(|t| t.add(*t, -0.5));
     }
 
+    /// How many listed nodes are as these books: each stands for those of its arm that are not told.
+    fn count<'a>(&self, books: impl Iterator<Item = &'a Book>) -> f64 {
+        books.map(|b| 1.0 / self.sight.seen(b.entry.build)).sum()
+    }
+
     /// How many nodes of the newest build, or of older ones, are ready.
     pub fn ready(&self, new: bool) -> usize {
-        self.books.iter().filter(|b| b.ready && (b.entry.build == self.newest) == new).count()
+        let arm = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
+        self.count(self.books.iter().filter(arm)).round() as usize
+    }
+
+    /// How many ready nodes run builds before this one.
+    pub fn older(&self, build: Build) -> f64 {
+        self.count(self.books.iter().filter(|b| b.ready && b.entry.build < build))
+    }
+
+    /// How many are ready and do not fail.
+    pub fn sound(&self) -> f64 {
+        self.count(self.books.iter().filter(|b| b.ready && !b.ill))
     }
 }
 
--- a/crates/policy/src/state/notes.rs
+++ b/crates/policy/src/state/notes.rs
@@ -30,6 +30,8 @@
     pub law: Charter,
     /// Each node as last listed.
     pub listed: BTreeMap<NodeIx, NodeEntry>,
+    /// What part of the list that is.
+    pub sight: Sight,
     pub boxes: Vec<VecDeque<Note>>,
     /// The inboxes that are not empty.
     pub full: BTreeSet<usize>,
@@ -45,6 +47,7 @@
             now: Duration::ZERO,
             law,
             listed: BTreeMap::new(),
+            sight: Sight::default(),
             boxes,
             full: BTreeSet::new(),
             awake: BTreeSet::new(),
@@ -96,6 +99,10 @@
                 }
                 SCOUT
             }
+            Event::Sight(sight) => {
+                self.sight = *sight;
+                return;
+            }
             Event::PickEnded { node, .. } => {
                 self.put(NODES + node, Note::Told(event.clone()));
                 FRONT
