--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -73,6 +73,9 @@
     let regions = vec![0; zones.len()];
     // One service: methods name none.
     let (serves, services) = (vec![], Default::default());
-    let terms = Terms { places, bounds, rollout, methods, serves, services, tenants, zones, regions, kinds };
+    // Its list is taken whole.
+    let subset = None;
+    let terms =
+        Terms { places, bounds, subset, rollout, methods, serves, services, tenants, zones, regions, kinds };
     Ok(Start { terms, known, news })
 }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod services;
 pub mod sheet;
+mod subset;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 
 use ivydrift_policy::port::*;
 use sheet::{Complaints, Page, Sheet};
+pub use subset::SubsetTerms;
 
 /// Terms for a first marshal beside the stand-ins' default addresses.
 pub const EXAMPLE: &str = include_str!("../example.hcl");
@@ -106,6 +108,8 @@
 pub struct Terms {
     pub places: Places,
     pub bounds: Bounds,
+    /// None: all nodes of a list are taken.
+    pub subset: Option<SubsetTerms>,
     pub rollout: RolloutTerms,
     /// Names behind the policy's indices.
     pub methods: Vec<String>,
@@ -244,6 +248,7 @@
     let (methods, rest): (Vec<String>, Vec<_>) = methods.into_iter().unzip();
     let (method_terms, serves): (_, Vec<Arc<str>>) = rest.into_iter().unzip();
     let services = services::read(top, &places.service, &serves);
+    let subset = subset::subset(top, &zones, (marshal, marshals, zone));
     let (tenants, tenant_terms) = tenants.into_iter().unzip();
     let rollout = RolloutTerms {
         seed,
@@ -261,7 +266,7 @@
         rules,
         limits,
     };
-    Terms { places, bounds, rollout, methods, serves, services, tenants, zones, regions, kinds }
+    Terms { places, bounds, subset, rollout, methods, serves, services, tenants, zones, regions, kinds }
 }
 
 /// The region of each zone: as the blocks `region "north" { zones = [...] }` say, all in one where there are none.
