--- a/crates/marshal/src/services/cut.rs
+++ b/crates/marshal/src/services/cut.rs
@@ -5,7 +5,7 @@
 
 use ivydrift_policy::port::{MethodTerms, TenantTerms};
 use ivydrift_terms::services::ServicesTerms;
-use ivydrift_terms::Terms;
+use ivydrift_terms::{Names, Terms};
 
 /// What the terms say of all services but `places.service`.
 pub struct Others {
@@ -30,7 +30,9 @@
     pub fn cut(&self, service: &str) -> Terms {
         let mut terms = self.terms.clone();
         terms.places.service = service.to_owned();
-        (terms.methods, terms.rollout.methods) = self.methods(service).iter().cloned().unzip();
+        let methods = self.methods(service);
+        terms.methods = methods.iter().map(|m| &m.0).collect();
+        terms.rollout.methods = methods.iter().map(|m| m.1.clone()).collect();
         terms
     }
 }
@@ -40,7 +42,7 @@
     let home: Arc<str> = terms.places.service.clone().into();
     let serves = std::mem::take(&mut terms.serves);
     let (names, values) = (std::mem::take(&mut terms.methods), std::mem::take(&mut terms.rollout.methods));
-    let tenants: (Vec<String>, Vec<TenantTerms>) =
+    let tenants: (Names, Vec<TenantTerms>) =
         (std::mem::take(&mut terms.tenants), std::mem::take(&mut terms.rollout.tenants));
     let mut shared = terms.clone();
     shared.places.peers.clear();
@@ -50,19 +52,21 @@
     (terms.tenants, terms.rollout.tenants) = tenants;
     // Terms that say nothing of services are those of one.
     let of = serves.into_iter().map(Some).chain(std::iter::repeat(None));
-    for ((name, value), of) in names.into_iter().zip(values).zip(of) {
+    let mut own = Vec::new();
+    for ((name, value), of) in names.iter().zip(values).zip(of) {
         match of.filter(|of| *of != home) {
             None => {
-                terms.methods.push(name);
+                own.push(name);
                 terms.rollout.methods.push(value);
             }
             Some(of) => {
                 let known = others.methods.get_key_value(&of).map(|known| known.0.clone());
                 let of = known.unwrap_or(of);
-                others.of.insert(name.clone(), of.clone());
-                others.methods.entry(of).or_default().push((name, value));
+                others.of.insert(name.to_owned(), of.clone());
+                others.methods.entry(of).or_default().push((name.to_owned(), value));
             }
         }
     }
+    terms.methods = own.into_iter().collect();
     (terms, others)
 }
--- a/crates/marshal/src/services/slot.rs
+++ b/crates/marshal/src/services/slot.rs
@@ -9,7 +9,7 @@
 
 use super::cut::Others;
 use super::{Dropped, Hold, Holding};
-use crate::renewal::MOST_NAMES;
+use crate::renewal::MOST_METHODS;
 use crate::{Ballot, Core, Input, Order};
 
 /// Nothing in hand and no news for so long: evidence is halved every 5 s and verdicts are weighed for 15 s at the most,
@@ -89,7 +89,7 @@
     /// The window of a method's tokens.
     pub fn window(&self, method: &str) -> Duration {
         let terms = &self.core.terms;
-        let at = terms.methods.iter().position(|m| m == method);
+        let at = terms.methods.find(method);
         match at.map(|at| terms.rollout.methods[at].repeat) {
             Some(Repeat::Tokened { window, .. }) => window,
             _ => Duration::ZERO,
@@ -199,12 +199,12 @@
     /// # Errors
     /// More names than a core may meet.
     pub fn may_renew(&self, others: &Others) -> Result<(), String> {
-        let known: BTreeSet<&str> = self.core.terms.methods.iter().map(|m| &m[..]).collect();
+        let known: BTreeSet<&str> = self.core.terms.methods.iter().collect();
         let new = others.methods(&self.name).iter().filter(|m| !known.contains(&m.0[..])).count();
         let name = &self.name;
-        match known.len() + new > MOST_NAMES {
+        match known.len() + new > MOST_METHODS {
             true => Err(format!(
-                "more than {MOST_NAMES} methods of service {name:?} since it is held; restart this marshal"
+                "more than {MOST_METHODS} methods of service {name:?} since it is held; restart this marshal"
             )),
             false => Ok(()),
         }
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -71,6 +71,7 @@
     rollout.limits.peers = false;
     let bounds = Bounds::by_descriptors(sockets as usize, BODY, connect);
     let regions = vec![0; zones.len()];
+    let (methods, tenants) = (methods.iter().collect(), tenants.iter().collect());
     // One service: methods name none.
     let (serves, services) = (vec![], Default::default());
     // Its list is taken whole.
--- a/crates/policy/src/marshal.rs
+++ b/crates/policy/src/marshal.rs
@@ -49,7 +49,13 @@
 
     /// Reckoned bytes of what is kept, and of that what each listed node takes.
     pub fn bytes(&self) -> (usize, usize) {
-        (reckon(&self.cx, &self.nodes, &self.front, &self.judge), node_bytes(&self.cx.law))
+        (reckon(&self.nodes, &self.front, &self.judge), node_bytes())
+    }
+
+    /// Bytes that are laid out by method: evidence, which comes with the first outcome of a method at a node, and the
+    /// accounts of sends. A method that was not met takes none.
+    pub fn laid_out(&self) -> usize {
+        self.judge.bytes() + self.front.gate.bytes()
     }
 
     pub fn handle(&mut self, now: Duration, events: Vec<Event>) -> Vec<Action> {
--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod judge;
 mod notes;
 mod reckon;
+mod seen;
 mod tally;
 mod told;
 
@@ -18,6 +19,7 @@
 pub use judge::*;
 pub use notes::*;
 pub use reckon::*;
+pub use seen::*;
 pub use tally::*;
 pub use told::*;
 
--- a/crates/policy/src/state/reckon.rs
+++ b/crates/policy/src/state/reckon.rs
@@ -10,26 +10,26 @@
 const INBOX: usize = 4;
 
 /// Of one listed node, in use or not.
-pub fn node_bytes(law: &Charter) -> usize {
+pub fn node_bytes() -> usize {
     let inbox = size_of::<std::collections::VecDeque<Note>>() + INBOX * size_of::<Note>();
     let listed = size_of::<NodeEntry>() + 2 * ENTRY;
-    let book = size_of::<Book>() + law.duties.len() * size_of::<Ledger>();
-    size_of::<Node>() + inbox + listed + book + size_of::<Card>() + 2 * size_of::<NodeIx>()
+    // Its evidence is laid out with the first outcome, and counted then.
+    size_of::<Node>() + inbox + listed + size_of::<Book>() + size_of::<Card>() + 2 * size_of::<NodeIx>()
 }
 
-pub fn reckon(cx: &Cx, nodes: &[Node], front: &Front, judge: &Judge) -> usize {
+pub fn reckon(nodes: &[Node], front: &Front, judge: &Judge) -> usize {
     let gate = &front.gate;
     let lists = || gate.taken.values().chain(gate.sent.values()).chain(gate.cold_sent.values());
     let times = lists().map(|t| size_of::<Times>() + 2 * ENTRY + t.capacity() * size_of::<Duration>());
     let keys = (gate.crossed.len() + gate.left.len()) * (2 * size_of::<u64>() + ENTRY);
     let rpc = size_of::<Rpc>() + 2 * size_of::<Pick>() + 3 * ENTRY;
-    let ledgers = (judge.past.len() + judge.before.len()) * size_of::<Ledger>();
+    let ledgers = judge.bytes();
     let picks: usize = nodes
         .iter()
         .map(|n| n.out.capacity() * size_of::<(RpcIx, usize, usize, Duration, NodeEntry)>())
         .sum();
     let own = size_of::<Cx>() + size_of::<Front>() + size_of::<Judge>();
-    own + nodes.len() * node_bytes(&cx.law)
+    own + nodes.len() * node_bytes()
         + picks
         + front.rpcs.len() * rpc
         + times.sum::<usize>()
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -5,6 +5,7 @@
 #[cfg(test)]
 mod tests;
 
+mod names;
 pub mod services;
 pub mod sheet;
 mod subset;
@@ -14,6 +15,7 @@
 use std::time::Duration;
 
 use ivydrift_policy::port::*;
+pub use names::Names;
 use sheet::{Complaints, Page, Sheet};
 pub use subset::SubsetTerms;
 
@@ -112,11 +114,11 @@
     pub subset: Option<SubsetTerms>,
     pub rollout: RolloutTerms,
     /// Names behind the policy's indices.
-    pub methods: Vec<String>,
+    pub methods: Names,
     /// The service of each method; of [`Places::service`] where there is none.
     pub serves: Vec<Arc<str>>,
     pub services: services::ServicesTerms,
-    pub tenants: Vec<String>,
+    pub tenants: Names,
     pub zones: Vec<String>,
     /// The region of each zone.
     pub regions: Vec<usize>,
@@ -245,11 +247,12 @@
     });
     let rules = top.block("rules", rules);
     let release = top.block("release", |s| release(s, marshals));
-    let (methods, rest): (Vec<String>, Vec<_>) = methods.into_iter().unzip();
-    let (method_terms, serves): (_, Vec<Arc<str>>) = rest.into_iter().unzip();
+    let names = methods.iter().map(|m| &m.0).collect();
+    let (method_terms, serves): (_, Vec<Arc<str>>) = methods.into_iter().map(|m| m.1).unzip();
     let services = services::read(top, &places.service, &serves);
     let subset = subset::subset(top, &zones, (marshal, marshals, zone));
-    let (tenants, tenant_terms) = tenants.into_iter().unzip();
+    let (tenant_names, tenant_terms) =
+        (tenants.iter().map(|t| &t.0).collect(), tenants.iter().map(|t| t.1).collect());
     let rollout = RolloutTerms {
         seed,
         marshal,
@@ -266,6 +269,7 @@
         rules,
         limits,
     };
+    let (methods, tenants) = (names, tenant_names);
     Terms { places, bounds, subset, rollout, methods, serves, services, tenants, zones, regions, kinds }
 }
 
