--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -3,6 +3,7 @@
 //! longest window, not by the day; where keys may not go back, by the keys as well.
 #![forbid(unsafe_code)]
 
+mod exposure;
 pub mod rules;
 pub mod trace;
 
--- a/crates/audit/src/trace.rs
+++ b/crates/audit/src/trace.rs
@@ -192,11 +192,19 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Line {
     pub t: u64,
+    /// Of what is per service (`asked`, `got`, `told`, `news`) whose it is; empty where there is one service only.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub service: String,
     #[serde(flatten)]
     pub seen: Seen,
 }
 
 impl Line {
+    /// A line where there is one service only.
+    pub fn new(t: u64, seen: Seen) -> Line {
+        Line { t, service: String::new(), seen }
+    }
+
     pub fn write(&self) -> String {
         serde_json::to_string(self).unwrap_or_default()
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 mod node;
 pub mod relay;
 mod rig;
+pub mod services;
 pub mod sim;
 pub mod sockets;
 pub mod sums;
--- /dev/null
+++ b/crates/standin/src/services/client.rs
@@ -0,0 +1,133 @@
+//! A client of the marshals, one connection for each RPC.
+
+use std::io::{BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use ivydrift_audit::trace::{Kind, Seen};
+
+use super::{http, Services};
+
+/// How long it waits beyond its time before it gives up: an answer that comes meanwhile is late.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// An RPC as it is asked.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    pub service: &'a str,
+    pub method: &'a str,
+    pub left: Duration,
+    /// The subject; 0 for none.
+    pub key: u64,
+    pub tenant: Option<&'a str>,
+    /// The call that it is a try of; none where it is the first.
+    pub call: Option<u64>,
+}
+
+impl<'a> Ask<'a> {
+    pub fn new(service: &'a str, method: &'a str) -> Self {
+        Ask { service, method, left: Duration::from_secs(2), key: 0, tenant: None, call: None }
+    }
+
+    #[must_use]
+    pub fn within(self, ms: u64) -> Self {
+        Ask { left: Duration::from_millis(ms), ..self }
+    }
+}
+
+/// What came of it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    Answered {
+        kind: Kind,
+        status: u16,
+        build: u32,
+        picks: u32,
+        retry_after: Option<Duration>,
+        took: Duration,
+    },
+    /// It was no RPC.
+    Rejected(u16),
+    /// The connection ended without an answer.
+    Broken,
+    /// There was no connection.
+    Refused,
+    TimeUp,
+}
+
+impl Reply {
+    pub fn kind(&self) -> Option<Kind> {
+        match self {
+            Reply::Answered { kind, .. } => Some(*kind),
+            _ => None,
+        }
+    }
+
+    pub fn ok(&self) -> bool {
+        self.kind() == Some(Kind::Ok)
+    }
+}
+
+impl Services {
+    /// Asks a marshal, and writes down what came of it.
+    pub fn call(&self, (marshal, to): (u32, SocketAddr), ask: &Ask) -> Reply {
+        let (key, left_us) = (ask.key, ask.left.as_micros() as u64);
+        let (id, call) = self.with(|town, now| {
+            town.ids += 1;
+            let (id, call) = (town.ids, ask.call.unwrap_or(town.ids));
+            let method = ask.method.to_owned();
+            town.say(now, ask.service, Seen::Asked { marshal, id, call, method, key, left_us });
+            (id, call)
+        });
+        let reply = exchange(to, ask, (id, call));
+        let seen = match reply {
+            Reply::Answered { kind, build, picks, .. } => Seen::Answered { id, kind, build, picks },
+            Reply::Rejected(_) | Reply::Refused => Seen::Refused { id },
+            Reply::Broken => Seen::Broken { id },
+            Reply::TimeUp => Seen::TimeUp { id },
+        };
+        self.with(|town, now| town.say(now, ask.service, seen));
+        reply
+    }
+}
+
+fn exchange(to: SocketAddr, ask: &Ask, (id, call): (u64, u64)) -> Reply {
+    let began = Instant::now();
+    let Ok(mut stream) = TcpStream::connect_timeout(&to, ask.left) else { return Reply::Refused };
+    let _ = stream.set_nodelay(true);
+    let mut text = format!(
+        "POST /{} HTTP/1.1\r\nHost: marshal\r\ngrpc-timeout: {}m\r\nidempotency-key: {call}\r\n\
+         ivydrift-trace: {id}.{call}.{}\r\nContent-Length: 4\r\n",
+        ask.method,
+        ask.left.as_millis(),
+        ask.key
+    );
+    if ask.key != 0 {
+        text.push_str(&format!("ivydrift-key: {}\r\n", ask.key));
+    }
+    if let Some(tenant) = ask.tenant {
+        text.push_str(&format!("ivydrift-tenant: {tenant}\r\n"));
+    }
+    text.push_str("\r\nask\n");
+    if stream.write_all(text.as_bytes()).is_err() {
+        return Reply::Broken;
+    }
+    let _ = stream.set_read_timeout(Some(ask.left + PATIENCE));
+    let message = match http::read(&mut BufReader::new(stream)) {
+        Ok(Some(message)) => message,
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Reply::TimeUp,
+        _ => return Reply::Broken,
+    };
+    let number = |name: &str| message.field(name).and_then(|n| n.parse::<u64>().ok());
+    let status = message.word(1).parse().unwrap_or(0);
+    let kind = match message.field("ivydrift-answer") {
+        Some("ok") => Kind::Ok,
+        Some("pushed-back") => Kind::PushedBack,
+        Some("aborted") => Kind::Aborted,
+        _ => return Reply::Rejected(status),
+    };
+    let build = number("ivydrift-build").unwrap_or(0) as u32;
+    let picks = number("ivydrift-picks").unwrap_or(0) as u32;
+    let retry_after = number("retry-after-ms").map(Duration::from_millis);
+    Reply::Answered { kind, status, build, picks, retry_after, took: began.elapsed() }
+}
--- /dev/null
+++ b/crates/standin/src/services/mod.rs
@@ -0,0 +1,376 @@
+//! Stand-ins that know many services: one node list and one release desk for all of them, nodes of each, and clients.
+//! What they do a test says by calls, and all of it goes into one trace, for the checker. On threads and sockets of the
+//! standard library, with words of their own: nothing is shared with the marshals.
+
+mod client;
+mod http;
+mod served;
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use ivydrift_audit::trace::{Course, Law, Line, Seen, State, Turn};
+use ivydrift_audit::{Auditor, Report};
+
+pub use client::{Ask, Reply};
+
+/// The names of zones, by their numbers.
+pub const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+
+/// What the list does with questions about a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manner {
+    Fine,
+    /// Nothing comes back on the connection, for ever.
+    Silent,
+    /// Half of the answer comes, then the end.
+    Torn,
+    /// Half of the answer comes, then nothing, for ever.
+    Stuck,
+    /// The answer takes so long.
+    Slow(Duration),
+}
+
+/// What a node does with the RPCs that it gets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Deed {
+    Answers,
+    /// It does the work, and closes without an answer.
+    Breaks,
+}
+
+/// A node as it starts.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    pub build: u32,
+    pub zone: usize,
+    /// What each RPC takes, and costs it.
+    pub work: Duration,
+    /// Work a second when warm, in seconds.
+    pub capacity: f64,
+    /// It starts now; others were there long before.
+    pub cold: bool,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan { build: 1, zone: 0, work: Duration::from_millis(5), capacity: 1.0, cold: false }
+    }
+}
+
+/// A question to the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Question {
+    pub at: Duration,
+    pub marshal: u32,
+    pub service: String,
+    pub index: u64,
+}
+
+/// A vote as it came to the desk.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Vote {
+    pub marshal: u32,
+    pub service: String,
+    pub verdict: String,
+    pub build: u32,
+}
+
+/// An RPC at a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Got {
+    pub at: Duration,
+    pub node: u32,
+    pub build: u32,
+    pub marshal: u32,
+    pub id: u64,
+}
+
+type News = (u32, u32, Course, f64);
+
+struct Service {
+    /// Of the list and of the desk.
+    index: [u64; 2],
+    news: News,
+    since: Instant,
+    manner: Manner,
+}
+
+struct Node {
+    service: String,
+    plan: Plan,
+    addr: SocketAddr,
+    /// Unix time, where it is told.
+    started_ms: Option<u64>,
+    state: State,
+    deed: Deed,
+    door: Arc<served::Door>,
+    connections: usize,
+}
+
+#[derive(Default)]
+struct Town {
+    lines: Vec<Line>,
+    services: HashMap<String, Service>,
+    nodes: Vec<Node>,
+    told: HashMap<(u32, String), BTreeMap<u32, State>>,
+    newsed: HashMap<(u32, String), News>,
+    questions: Vec<Question>,
+    votes: Vec<Vote>,
+    got: Vec<Got>,
+    /// Questions held now, by who asks, of the list.
+    watches: HashMap<(u32, String), usize>,
+    /// When each token was first met.
+    tokens: HashMap<u64, Instant>,
+    ids: u64,
+}
+
+struct Shared {
+    zero: Instant,
+    law: Law,
+    /// Whom questions without a service are about.
+    home: String,
+    town: Mutex<Town>,
+    changed: Condvar,
+    over: AtomicBool,
+}
+
+impl Shared {
+    /// Calls with the present time, which lines are written with.
+    fn with<T>(&self, call: impl FnOnce(&mut Town, Duration) -> T) -> T {
+        let mut town = self.town.lock().unwrap();
+        let now = self.zero.elapsed();
+        call(&mut town, now)
+    }
+
+    fn over(&self) -> bool {
+        self.over.load(Ordering::Acquire)
+    }
+}
+
+impl Town {
+    fn say(&mut self, now: Duration, service: &str, seen: Seen) {
+        self.lines.push(Line { t: now.as_micros() as u64, service: service.to_owned(), seen });
+    }
+
+    fn change_list(&mut self, service: &str) {
+        if let Some(one) = self.services.get_mut(service) {
+            one.index[0] += 1;
+        }
+    }
+}
+
+pub struct Services {
+    shared: Arc<Shared>,
+    doors: Vec<Arc<served::Door>>,
+    pub node_list: SocketAddr,
+    pub release_desk: SocketAddr,
+}
+
+impl Services {
+    /// `home`: the service of marshals' `places.service`, which the desk is asked about without a name.
+    ///
+    /// # Errors
+    /// When no address can be had.
+    pub fn new(law: Law, home: &str) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            zero: Instant::now(),
+            law: law.clone(),
+            home: home.to_owned(),
+            town: Mutex::default(),
+            changed: Condvar::new(),
+            over: AtomicBool::new(false),
+        });
+        shared.with(|town, now| town.say(now, "", Seen::Law(law)));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let list = served::open(&shared, TcpListener::bind(any)?, served::Role::List)?;
+        let desk = served::open(&shared, TcpListener::bind(any)?, served::Role::Desk)?;
+        let (node_list, release_desk) = (list.addr, desk.addr);
+        Ok(Services { shared, doors: vec![list, desk], node_list, release_desk })
+    }
+
+    fn with<T>(&self, call: impl FnOnce(&mut Town, Duration) -> T) -> T {
+        let result = self.shared.with(call);
+        self.shared.changed.notify_all();
+        result
+    }
+
+    /// A service that is known to the list: without nodes, build 1 released long ago.
+    pub fn add(&self, service: &str) {
+        let one = || Service {
+            index: [1, 1],
+            news: (1, 2, Course::Released, 1.0),
+            since: self.shared.zero,
+            manner: Manner::Fine,
+        };
+        self.with(|town, _| _ = town.services.entry(service.to_owned()).or_insert_with(one));
+    }
+
+    /// Starts a node of a service, which is added where it is not known yet; its number.
+    ///
+    /// # Errors
+    /// When no address can be had.
+    pub fn start(&self, service: &str, plan: Plan) -> io::Result<u32> {
+        self.add(service);
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let number = self.with(|town, _| town.nodes.len() as u32);
+        let door = served::open(&self.shared, listener, served::Role::Node(number))?;
+        let (addr, service) = (door.addr, service.to_owned());
+        let (state, deed, connections, started_ms) = (State::Gone, Deed::Answers, 0, None);
+        self.with(|town, _| {
+            town.nodes.push(Node { service, plan, addr, started_ms, state, deed, door, connections });
+        });
+        self.show(number);
+        Ok(number)
+    }
+
+    /// A node that listens is up, and listed.
+    fn show(&self, number: u32) {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.with(|town, now| {
+            let node = &mut town.nodes[number as usize];
+            (node.state, node.started_ms) = (State::Ready, None);
+            let (plan, service) = (node.plan, node.service.clone());
+            if plan.cold {
+                node.started_ms = Some(unix.as_millis() as u64);
+                let (build, capacity) = (plan.build, plan.capacity);
+                town.say(now, &service, Seen::Up { node: number, build, capacity });
+            }
+            town.change_list(&service);
+        });
+    }
+
+    /// The list says from now on that it drains.
+    pub fn drain(&self, node: u32) {
+        self.with(|town, _| {
+            town.nodes[node as usize].state = State::Draining;
+            let service = town.nodes[node as usize].service.clone();
+            town.change_list(&service);
+        });
+    }
+
+    /// It goes, with all its connections, and from the list.
+    pub fn stop(&self, node: u32) {
+        let door = self.with(|town, now| {
+            town.nodes[node as usize].state = State::Gone;
+            let (door, service) =
+                (town.nodes[node as usize].door.clone(), town.nodes[node as usize].service.clone());
+            town.say(now, &service, Seen::Down { node });
+            town.change_list(&service);
+            door
+        });
+        door.shut();
+    }
+
+    /// It comes back at its address as another process.
+    ///
+    /// # Errors
+    /// When the address cannot be had any more.
+    pub fn again(&self, node: u32, plan: Plan) -> io::Result<()> {
+        let addr = self.with(|town, _| town.nodes[node as usize].addr);
+        let door = served::open(&self.shared, TcpListener::bind(addr)?, served::Role::Node(node))?;
+        self.with(|town, _| {
+            let node = &mut town.nodes[node as usize];
+            (node.plan, node.door, node.connections) = (plan, door, 0);
+        });
+        self.show(node);
+        Ok(())
+    }
+
+    pub fn deed(&self, node: u32, deed: Deed) {
+        self.with(|town, _| town.nodes[node as usize].deed = deed);
+    }
+
+    /// From now on each RPC takes it this long.
+    pub fn work(&self, node: u32, work: Duration) {
+        self.with(|town, _| town.nodes[node as usize].plan.work = work);
+    }
+
+    pub fn addr(&self, node: u32) -> SocketAddr {
+        self.with(|town, _| town.nodes[node as usize].addr)
+    }
+
+    /// Connections that it has had since it started.
+    pub fn connections(&self, node: u32) -> usize {
+        self.with(|town, _| town.nodes[node as usize].connections)
+    }
+
+    /// The desk's word on the service's newest build, from now on.
+    pub fn stage(&self, service: &str, (build, stage, course, cap): (u32, u32, Course, f64)) {
+        self.with(|town, _| {
+            if let Some(one) = town.services.get_mut(service) {
+                (one.news, one.since) = ((build, stage, course, cap), Instant::now());
+                one.index[1] += 1;
+            }
+        });
+    }
+
+    pub fn manner(&self, service: &str, manner: Manner) {
+        self.with(|town, _| town.services.get_mut(service).into_iter().for_each(|one| one.manner = manner));
+    }
+
+    /// What becomes of a marshal: said before it is killed, and before it is started.
+    pub fn turn(&self, marshal: u32, turn: Turn) {
+        self.with(|town, now| {
+            if turn == Turn::Started {
+                town.told.retain(|key, _| key.0 != marshal);
+                town.newsed.retain(|key, _| key.0 != marshal);
+            }
+            town.say(now, "", Seen::Marshal { marshal, turn });
+        });
+    }
+
+    pub fn now(&self) -> Duration {
+        self.shared.zero.elapsed()
+    }
+
+    pub fn questions(&self) -> Vec<Question> {
+        self.with(|town, _| town.questions.clone())
+    }
+
+    pub fn votes(&self) -> Vec<Vote> {
+        self.with(|town, _| town.votes.clone())
+    }
+
+    /// All RPCs that nodes of a service got.
+    pub fn got(&self, service: &str) -> Vec<Got> {
+        let of = |town: &Town, got: &Got| town.nodes[got.node as usize].service == service;
+        self.with(|town, _| town.got.iter().filter(|got| of(town, got)).copied().collect())
+    }
+
+    /// Services whose lists a marshal holds a question to now.
+    pub fn watches(&self, marshal: u32) -> Vec<String> {
+        let held = |town: &mut Town, _| {
+            let mine = town.watches.iter().filter(|w| w.0 .0 == marshal && *w.1 > 0);
+            mine.map(|w| w.0 .1.clone()).collect()
+        };
+        self.with(held)
+    }
+
+    pub fn lines(&self) -> Vec<Line> {
+        self.with(|town, _| town.lines.clone())
+    }
+
+    /// The checker's report on the trace so far.
+    ///
+    /// # Errors
+    /// When it is no trace.
+    pub fn report(&self) -> Result<Report, String> {
+        let mut auditor = Auditor::new();
+        self.lines().iter().try_for_each(|line| auditor.take(line))?;
+        Ok(auditor.finish())
+    }
+}
+
+impl Drop for Services {
+    fn drop(&mut self) {
+        self.shared.over.store(true, Ordering::Release);
+        self.shared.changed.notify_all();
+        let nodes = self.with(|town, _| town.nodes.iter().map(|n| n.door.clone()).collect::<Vec<_>>());
+        self.doors.iter().chain(&nodes).for_each(|door| door.shut());
+    }
+}
