Fleets of test processes may be told a list, a desk and blocks of their own, and new ones by a signal

For cases of many services over several processes. What peers.rs and pairs.rs run is as before: the default is the terms that they had. Stand-in nodes may be started at a given address, as when another's process takes it.

--- a/crates/ivydrift/tests/fleet/mod.rs
+++ b/crates/ivydrift/tests/fleet/mod.rs
@@ -24,6 +24,26 @@
     (0..count).map(one).collect()
 }
 
+/// What marshals are told beside who they are.
+#[derive(Clone)]
+pub struct Told {
+    pub node_list: SocketAddr,
+    pub release_desk: SocketAddr,
+    pub service: String,
+    /// All other blocks.
+    pub blocks: String,
+}
+
+impl Default for Told {
+    /// Nobody listens at the list's and the desk's address: they are away all the time.
+    fn default() -> Self {
+        let nobody = SocketAddr::from(([127, 0, 0, 1], 9));
+        let blocks = "method \"read\" {\n  repeat = \"idempotent\"\n  soft_deadline = \"800ms\"\n  \
+                      deadline = \"3s\"\n}\n";
+        Told { node_list: nobody, release_desk: nobody, service: "town".into(), blocks: blocks.into() }
+    }
+}
+
 pub struct Fleet {
     pub folder: TempDir,
     pub own: Vec<SocketAddr>,
@@ -31,36 +51,57 @@
     pub children: Vec<Option<Child>>,
     /// What each runs.
     pub programs: Vec<PathBuf>,
+    pub told: Told,
 }
 
 impl Fleet {
-    pub fn start((name, index): (&str, u8), count: usize) -> Fleet {
+    pub fn start(name: (&str, u8), count: usize) -> Fleet {
+        Fleet::start_told(name, count, Told::default())
+    }
+
+    pub fn start_told((name, index): (&str, u8), count: usize, told: Told) -> Fleet {
         let folder = tempfile::Builder::new().prefix(name).tempdir().unwrap();
         let own = addresses(index, count);
         let relay = Relay::new(&own, Links::new(7, vec![])).unwrap();
         let children = (0..count).map(|_| None).collect();
         let programs = vec![PathBuf::from(PROGRAM); count];
-        let mut fleet = Fleet { folder, own, relay, children, programs };
+        let mut fleet = Fleet { folder, own, relay, children, programs, told };
         (0..count).for_each(|n| fleet.launch(n));
         fleet
     }
 
-    pub fn launch(&mut self, number: usize) {
+    fn file(&self, number: usize) -> PathBuf {
+        self.folder.path().join(format!("edge-{number}.hcl"))
+    }
+
+    /// Writes this marshal's file.
+    fn write(&self, number: usize, blocks: &str) {
         let quoted =
             |all: Vec<SocketAddr>| all.iter().map(|a| format!("\"{a}\"")).collect::<Vec<_>>().join(", ");
         let (count, own) = (self.own.len(), self.own[number]);
-        // Nobody listens at the list's and the desk's address: they are away all the time.
+        let Told { node_list, release_desk, service, .. } = &self.told;
         let terms = format!(
             "zones = [\"a\", \"b\"]\n\
              marshal {{\n  number = {number}\n  of = {count}\n  zone = \"{}\"\n}}\n\
-             places {{\n  listen = \"{own}\"\n  node_list = \"127.0.0.1:9\"\n  service = \"town\"\n  \
-             release_desk = \"127.0.0.1:9\"\n  peers = [{}]\n}}\n\
-             method \"read\" {{\n  repeat = \"idempotent\"\n  soft_deadline = \"800ms\"\n  deadline = \"3s\"\n}}\n",
+             places {{\n  listen = \"{own}\"\n  node_list = \"{node_list}\"\n  service = \"{service}\"\n  \
+             release_desk = \"{release_desk}\"\n  peers = [{}]\n}}\n{blocks}",
             ["a", "b"][number % 2],
             quoted(self.relay.told(number, own)),
         );
-        let file = self.folder.path().join(format!("edge-{number}.hcl"));
-        std::fs::write(&file, terms).unwrap();
+        std::fs::write(self.file(number), terms).unwrap();
+    }
+
+    /// All marshals that run are told other blocks; who is launched later has those of the start.
+    pub fn renew(&self, blocks: &str) {
+        for number in (0..self.own.len()).filter(|n| self.children[*n].is_some()) {
+            self.write(number, blocks);
+            self.signal(number, Signal::SIGHUP);
+        }
+    }
+
+    pub fn launch(&mut self, number: usize) {
+        self.write(number, &self.told.blocks);
+        let file = self.file(number);
         let log = std::fs::File::create(self.folder.path().join(format!("edge-{number}.log"))).unwrap();
         let mut edge = Command::new(&self.programs[number]);
         edge.arg("edge").arg(&file).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
@@ -126,9 +167,13 @@
         (0..self.own.len()).for_each(|by| self.shows(by, within, all));
     }
 
+    pub fn log(&self, number: usize) -> String {
+        std::fs::read_to_string(self.folder.path().join(format!("edge-{number}.log"))).unwrap()
+    }
+
     /// How often this marshal's log says that another entered the state.
     pub fn logged(&self, by: usize, of: usize, state: &str) -> usize {
-        let log = std::fs::read_to_string(self.folder.path().join(format!("edge-{by}.log"))).unwrap();
+        let log = self.log(by);
         let line = |l: &&str| l.contains(&format!("marshal {of}: ")) && l.contains(&format!(" to {state},"));
         log.lines().filter(line).count()
     }
--- a/crates/ivydrift/tests/peers.rs
+++ b/crates/ivydrift/tests/peers.rs
@@ -1,6 +1,7 @@
 //! Marshals as processes, with a relay on the links between them that does harm, and processes killed, stopped
 //! and started again: what `ivydrift peers` shows of it.
 
+#[allow(dead_code)] // Each file of tests uses a part.
 mod fleet;
 
 use std::time::Duration;
--- a/crates/standin/src/services/mod.rs
+++ b/crates/standin/src/services/mod.rs
@@ -54,11 +54,13 @@
     pub capacity: f64,
     /// It starts now; others were there long before.
     pub cold: bool,
+    /// Where it listens; anywhere if that is left open.
+    pub at: Option<SocketAddr>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Plan { build: 1, zone: 0, work: Duration::from_millis(5), capacity: 1.0, cold: false }
+        Plan { build: 1, zone: 0, work: Duration::from_millis(5), capacity: 1.0, cold: false, at: None }
     }
 }
 
@@ -216,7 +218,8 @@
     /// When no address can be had.
     pub fn start(&self, service: &str, plan: Plan) -> io::Result<u32> {
         self.add(service);
-        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = TcpListener::bind(plan.at.unwrap_or(any))?;
         let number = self.with(|town, _| town.nodes.len() as u32);
         let door = served::open(&self.shared, listener, served::Role::Node(number))?;
         let (addr, service) = (door.addr, service.to_owned());
--- a/crates/standin/src/services/served.rs
+++ b/crates/standin/src/services/served.rs
@@ -91,7 +91,7 @@
             Role::Desk => news(shared, &out, &message),
             Role::Node(node) => rpc(shared, door, &out, node, &message),
         };
-        if !answer.is_some_and(|answer| out.write_all(&answer).is_ok()) {
+        if answer.is_none_or(|answer| out.write_all(&answer).is_err()) {
             break;
         }
     }
