--- /dev/null
+++ b/crates/standin/tests/services.rs
@@ -0,0 +1,132 @@
+//! The stand-ins for many services by themselves: what list, desk and nodes say, and what they write down of it.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use ivydrift_audit::trace::{Course, Group, Law, Method, Repeat, Seen, State};
+use ivydrift_standin::services::{Manner, Plan, Services};
+
+fn law() -> Law {
+    let method = |name: &str| Method {
+        name: name.into(),
+        repeat: Repeat::NonIdempotent,
+        group: Group::All,
+        window_us: 0,
+    };
+    Law {
+        methods: vec![method("cart-book")],
+        drain_grace_us: 1_000_000,
+        cold_from: 0.4,
+        warm_us: 5_000_000,
+        fall_multiple: 3.0,
+        fall_us: 1_000_000,
+        window_us: 1_000_000,
+        free: 2.0,
+        first_cap: 0.1,
+        by_method: false,
+        guarded: 0,
+        one_way: false,
+        copies: false,
+        slack_us: 150_000,
+        late_us: 150_000,
+    }
+}
+
+/// What comes back within two seconds or until the end.
+fn ask(to: SocketAddr, first: &str, fields: &str) -> String {
+    let mut stream = TcpStream::connect(to).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+    let text =
+        format!("{first} HTTP/1.1\r\nHost: h\r\nUser-Agent: marshal-3\r\n{fields}Content-Length: 0\r\n\r\n");
+    stream.write_all(text.as_bytes()).unwrap();
+    let (mut all, mut part) = (Vec::new(), [0; 4096]);
+    while let Ok(n) = stream.read(&mut part) {
+        all.extend_from_slice(&part[..n]);
+        let text = String::from_utf8_lossy(&all).into_owned();
+        let length = text.lines().find_map(|l| l.strip_prefix("Content-Length: ")?.parse::<usize>().ok());
+        let body = text.split_once("\r\n\r\n").map_or(0, |t| t.1.len());
+        if n == 0 || length.is_some_and(|length| body >= length) {
+            break;
+        }
+    }
+    String::from_utf8(all).unwrap()
+}
+
+fn list(services: &Services, service: &str, index: u64) -> String {
+    ask(services.node_list, &format!("GET /v1/health/service/{service}?index={index}&wait=1s"), "")
+}
+
+#[test]
+fn each_service_has_a_list_of_its_own_that_is_held_until_it_changes() {
+    let services = Services::new(law(), "town").unwrap();
+    let cart = services.start("cart", Plan::default()).unwrap();
+    services.start("relay", Plan { build: 4, ..Plan::default() }).unwrap();
+    let (first, other) = (list(&services, "cart", 0), list(&services, "relay", 0));
+    let port = services.addr(cart).port().to_string();
+    assert!(first.contains(&port) && !other.contains(&port) && other.contains("\"build\":\"4\""));
+    let began = Instant::now();
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(Duration::from_millis(300));
+            services.drain(cart);
+        });
+        assert!(list(&services, "cart", 2).contains("draining"));
+    });
+    assert!((250..900).contains(&(began.elapsed().as_millis() as u64)), "{:?}", began.elapsed());
+    let told: Vec<(String, Seen)> = services.lines().into_iter().map(|l| (l.service, l.seen)).collect();
+    for state in [State::Ready, State::Draining] {
+        assert!(told.contains(&("cart".to_owned(), Seen::Told { marshal: 3, node: cart, state })));
+    }
+}
+
+#[test]
+fn a_list_is_torn_or_silent_as_it_is_told_and_tells_nothing_then() {
+    let services = Services::new(law(), "town").unwrap();
+    services.start("cart", Plan::default()).unwrap();
+    for manner in [Manner::Torn, Manner::Stuck, Manner::Silent] {
+        services.manner("cart", manner);
+        let text = list(&services, "cart", 0);
+        let body = text.split_once("\r\n\r\n").map_or(0, |t| t.1.len());
+        let length = text.lines().find_map(|l| l.strip_prefix("Content-Length: ")?.parse::<usize>().ok());
+        assert!(
+            length.map_or(manner == Manner::Silent, |length| body > 0 && body < length),
+            "{manner:?} {text}"
+        );
+    }
+    assert!(!services.lines().iter().any(|l| matches!(l.seen, Seen::Told { .. })));
+    services.manner("cart", Manner::Fine);
+    assert!(list(&services, "cart", 0).contains("passing"));
+}
+
+#[test]
+fn the_desk_knows_each_service_and_without_a_name_the_home_s() {
+    let services = Services::new(law(), "town").unwrap();
+    services.add("town");
+    services.add("cart");
+    services.stage("cart", (2, 0, Course::OnTrial, 0.25));
+    let home = ask(services.release_desk, "GET /v1/stage?index=0&wait=1s&marshal=3", "");
+    let cart = ask(services.release_desk, "GET /v1/stage?index=0&wait=1s&marshal=3&service=cart", "");
+    assert!(home.contains("released") && cart.contains("on-trial") && cart.contains("0.25"), "{home} {cart}");
+    let (service, marshal, course) = ("cart".to_owned(), 3, Course::OnTrial);
+    let news = Seen::News { marshal, build: 2, stage: 0, course, cap: 0.25 };
+    assert!(services.lines().iter().any(|l| (&l.service, &l.seen) == (&service, &news)));
+}
+
+#[test]
+fn a_node_writes_down_what_it_got_and_did_and_the_rules_see_it() {
+    let services = Services::new(law(), "town").unwrap();
+    let node = services.start("cart", Plan::default()).unwrap();
+    // As a marshal that sends one RPC twice: an effect that must not happen twice does.
+    let fields = "Via: 1.1 ivydrift-3\r\nivydrift-trace: 1.7.0\r\n";
+    for _ in 0..2 {
+        assert!(ask(services.addr(node), "POST /cart-book", fields).ends_with("build 1 node 0\n"));
+    }
+    let got = services.got("cart");
+    assert_eq!(
+        got.iter().map(|g| (g.node, g.marshal, g.id, g.build)).collect::<Vec<_>>(),
+        [(node, 3, 1, 1); 2]
+    );
+    let report = services.report().unwrap();
+    assert!(report.broken[1] > 0 && report.broken[0] > 0, "{:?}", report.broken);
+}
