--- a/crates/standin/src/services/mod.rs
+++ b/crates/standin/src/services/mod.rs
@@ -166,6 +166,19 @@
     }
 }
 
+/// An address that was just left is free once the thread that accepted there has ended.
+fn bind(addr: SocketAddr) -> io::Result<TcpListener> {
+    let by = Instant::now() + Duration::from_secs(2);
+    loop {
+        match TcpListener::bind(addr) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < by => {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            bound => return bound,
+        }
+    }
+}
+
 pub struct Services {
     shared: Arc<Shared>,
     doors: Vec<Arc<served::Door>>,
@@ -219,7 +232,7 @@
     pub fn start(&self, service: &str, plan: Plan) -> io::Result<u32> {
         self.add(service);
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let listener = TcpListener::bind(plan.at.unwrap_or(any))?;
+        let listener = bind(plan.at.unwrap_or(any))?;
         let number = self.with(|town, _| town.nodes.len() as u32);
         let door = served::open(&self.shared, listener, served::Role::Node(number))?;
         let (addr, service) = (door.addr, service.to_owned());
@@ -275,7 +288,7 @@
     /// When the address cannot be had any more.
     pub fn again(&self, node: u32, plan: Plan) -> io::Result<()> {
         let addr = self.with(|town, _| town.nodes[node as usize].addr);
-        let door = served::open(&self.shared, TcpListener::bind(addr)?, served::Role::Node(node))?;
+        let door = served::open(&self.shared, bind(addr)?, served::Role::Node(node))?;
         self.with(|town, _| {
             let node = &mut town.nodes[node as usize];
             (node.plan, node.door, node.connections) = (plan, door, 0);
