--- a/crates/ivydrift/tests/services/zone.rs
+++ b/crates/ivydrift/tests/services/zone.rs
@@ -57,7 +57,8 @@
         assert!(whole <= SERVICES + 4, "marshal {marshal} asked for {whole} whole lists");
     }
     assert!([1, 3].iter().all(|m| names.iter().all(|name| town.begun(*m, name) == 0)));
-    let cold = names.iter().flat_map(|name| town.services.got(name)).filter(|g| g.node.is_multiple_of(2)).count();
+    let cold =
+        names.iter().flat_map(|name| town.services.got(name)).filter(|g| g.node.is_multiple_of(2)).count();
     println!("{cold} RPCs at cold nodes");
     assert!(cold > 0, "the zone's own nodes are used");
     town.kept();
