--- /dev/null
+++ b/crates/client/examples/choice.rs
@@ -0,0 +1,56 @@
+//! What a channel's core costs by the marshals it is told, half of them near: time of a call with its answer, and memory.
+//! `cargo run --release -p ivydrift-client --example choice`.
+
+use std::time::{Duration, Instant};
+
+use ivydrift_client::core::{Action, Core, Event, Kind, Manners, Reply};
+
+const CALLS: u64 = 20_000;
+const CORES: usize = 400;
+
+/// Resident bytes of this process.
+fn resident() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    text.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok()).unwrap_or(0) * 4096
+}
+
+fn core(marshals: usize, seed: u64) -> Core {
+    let near: Vec<bool> = (0..marshals).map(|m| m % 2 == 0).collect();
+    Core::new(Manners::default(), &near, seed)
+}
+
+/// Seconds of a call, from its first word to its answer.
+fn call(marshals: usize, seed: u64) -> f64 {
+    let mut core = core(marshals, seed);
+    let (begun, mut now) = (Instant::now(), Duration::ZERO);
+    for call in 0..CALLS {
+        now += Duration::from_millis(100);
+        let within = Duration::from_secs(1);
+        let mut events = vec![Event::Call { call, kind: Kind::Idempotent, within }];
+        while let Some(event) = events.pop() {
+            for action in core.handle(now, event) {
+                match action {
+                    Action::Connect { conn, .. } => events.push(Event::Connected { conn }),
+                    Action::Send { call, .. } => {
+                        events.push(Event::Answered { call, reply: Reply::Ok, keep: true })
+                    }
+                    Action::Close { .. } | Action::Finish { .. } => {}
+                }
+            }
+        }
+    }
+    assert_eq!(core.counts.sent, CALLS, "each call went out once");
+    begun.elapsed().as_secs_f64() / CALLS as f64
+}
+
+fn main() {
+    println!("marshals  call us, three runs  core kB");
+    for marshals in [4, 48, 308, 3700] {
+        let runs: Vec<String> = (1..=3).map(|seed| format!("{:.1}", 1e6 * call(marshals, seed))).collect();
+        let before = resident();
+        let cores: Vec<Core> = (0..CORES).map(|n| core(marshals, n as u64)).collect();
+        let each = (resident() - before) as f64 / CORES as f64 / 1000.0;
+        println!("{marshals:8}  {:>19}  {each:7.1}", runs.join(" "));
+        drop(cores);
+    }
+}
