--- a/crates/policy/src/policy/scout.rs
+++ b/crates/policy/src/policy/scout.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// A question that failed is asked again within so many pauses, and so much longer after a second failure.
+/// A question that failed is asked again within so many pauses, and so much longer after a second and a third failure.
 /// Drawn anew between half and all of it: marshals that started together were turned away together.
 const AGAIN: [f64; 2] = [0.4, 2.0];
 
@@ -12,7 +12,7 @@
         let wait = |s: f64| secs(s).min(cx.law.ask_within / 2);
         match note {
             Note::Told(Event::Nodes { scope: Scope::Failed, .. }) => {
-                (self.subscribed, self.failures) = (false, (self.failures + 1).min(2));
+                (self.subscribed, self.failures) = (false, (self.failures + 1).min(3));
                 let draw = 0.5 + 0.5 * lot(cx.law.seed, cx.now.as_nanos() as u64);
                 self.ask_at = cx.now + wait(AGAIN[0] * pause * AGAIN[1].powi(self.failures - 1) * draw);
             }
