--- a/crates/policy/src/policy/judge.rs
+++ b/crates/policy/src/policy/judge.rs
@@ -102,7 +102,7 @@
         self.places = self.older(build);
     }
 
-    /// Sums an arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble of a
+    /// An arm's ledgers by kind and method, without the quarter of its nodes that failed most: trouble of a
     /// few nodes convicts no build. Too few on trial are held against the older arm's worst quarter instead.
     fn arm(&mut self, new: bool, past: bool, few: bool) -> usize {
         let mine = |b: &&Book| b.ready && (b.entry.build == self.newest) == new;
--- a/crates/policy/src/policy/scout.rs
+++ b/crates/policy/src/policy/scout.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// A question that failed is asked again within so many pauses, so much longer after each of two more failures.
+/// A question that failed is asked again within so many pauses, and so much longer after each of two more.
 /// Drawn anew between half and all of it: marshals that started together were turned away together.
 const AGAIN: [f64; 2] = [0.4, 2.0];
 
