--- /dev/null
+++ b/review/standin/src/bin/crowd.rs
@@ -0,0 +1,119 @@
+//! Case: discovery has too many callers, and a node drains meanwhile.
+//!
+//! Two marshals watch discovery. From one moment on the calls of marshal A wait for 2 s in discovery's queue
+//! and are turned away with 503; the watch of marshal B stands. Then a node begins to drain. B is told at
+//! once. A is not, but the change counts as told to A 6 s after discovery had it.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use review_standin::client::Clients;
+use review_standin::desk::Desk;
+use review_standin::discovery::Discovery;
+use review_standin::marshal::{free_addr, settings, Marshal, Setup};
+use review_standin::node::{Attempts, Mode, Node, Work};
+use review_standin::{record, trouble, wait, wait_for};
+
+/// The bounds of the pages, in milliseconds: a change counts as told this long after discovery had it; the
+/// grace for drains; every time limit is 50 ms longer on sockets.
+const TOLD_AFTER: f64 = 6000.0;
+const GRACE: f64 = 1000.0;
+const SLACK: f64 = 50.0;
+/// How long the crowd lasts after the node began to drain.
+const CROWD_MS: u64 = 14_000;
+
+fn main() {
+    record::open("record.txt");
+    let code = run();
+    record::flush();
+    std::process::exit(code);
+}
+
+fn unable(why: &str) -> i32 {
+    record::line(&format!("the case could not run: {why}"));
+    println!("the case could not run: {why}");
+    2
+}
+
+fn run() -> i32 {
+    let attempts = Attempts::default();
+    let nodes: Vec<Node> = (0..14)
+        .map(|i| Node::start(&format!("s-{i}"), Work::Fixed(Duration::from_millis(90)), &attempts))
+        .collect();
+    let discovery = Discovery::default();
+    for node in &nodes {
+        discovery.set(&node.name, node.addr, "active", 41);
+    }
+    let (door_a, door_b) = (discovery.open("A"), discovery.open("B"));
+    let desk = Desk::start(41);
+    let start = |slot: usize, name: &str, door: &review_standin::discovery::Door| {
+        Marshal::start(&Setup {
+            name: name.to_owned(),
+            listen: free_addr(),
+            discovery: door.addr,
+            desk: desk.addr,
+            news: desk.state.lock().unwrap().json(),
+            known: discovery.whole(),
+            settings: settings(slot, 2),
+            seed: 0x5eed_0001 + slot as u64,
+        })
+    };
+    let (mut a, mut b) = (start(0, "A", &door_a), start(1, "B", &door_b));
+    if !a.ready(10_000) || !b.ready(10_000) {
+        return unable("a marshal was not ready within 10 s");
+    }
+    let clients = ["A", "B"].map(|name| {
+        let to = if name == "A" { a.listen } else { b.listen };
+        Clients::start(to, name, 12, Duration::from_millis(320))
+    });
+    wait(5000);
+    if trouble() {
+        door_a.crowded.store(true, Ordering::SeqCst);
+        record::line("discovery has too many callers: the calls of A wait for 2 s and are turned away");
+        if !wait_for(12_000, || door_a.turned_away.load(Ordering::SeqCst) > 0) {
+            return unable("no call of A came into the crowd");
+        }
+    }
+    let drained = &nodes[3];
+    let (revision, changed) = discovery.set(&drained.name, drained.addr, "leaving", 41);
+    drained.set(Mode::Drains);
+    wait(CROWD_MS);
+    door_a.crowded.store(false, Ordering::SeqCst);
+    if trouble() {
+        record::line("discovery has room again");
+    }
+    wait_for(12_000, || door_a.told_at(revision).is_some());
+    wait(2000);
+    let counts = clients.map(|clients| clients.stop().text());
+    let crashed = a.ended() || b.ended();
+    [&a, &b].iter().for_each(|m| m.signal("TERM"));
+    wait_for(4500, || a.ended() && b.ended());
+    let told = [door_a.told_at(revision), door_b.told_at(revision)];
+    let [Some(told_a), Some(told_b)] = told else { return unable("a marshal was never told of the change") };
+    if attempts.lock().unwrap().len() < 500 {
+        return unable("too few requests came to the nodes");
+    }
+    let mut broken = usize::from(crashed);
+    for (name, told, counts) in [("A", told_a, &counts[0]), ("B", told_b, &counts[1])] {
+        let counts_as_told = told.min(changed + TOLD_AFTER + SLACK);
+        let bound = counts_as_told + GRACE + SLACK;
+        let late: Vec<f64> = attempts
+            .lock()
+            .unwrap()
+            .iter()
+            .filter(|t| t.node == drained.name && t.id.starts_with(name) && t.first > bound)
+            .map(|t| t.first)
+            .collect();
+        let text = format!(
+            "marshal {name}: change at {changed:.0}, written to it at {told:.0}, counts as told at {counts_as_told:.0}, \
+             nothing new may begin after {bound:.0}; begun later: {}{}; clients: {counts}",
+            late.len(),
+            late.last().map_or(String::new(), |last| format!(" (the last {:.0} ms after the bound)", last - bound))
+        );
+        record::line(&text);
+        println!("{text}");
+        broken += late.len();
+    }
+    record::line(if broken > 0 { "the rule was broken" } else { "the rule held" });
+    i32::from(broken > 0)
+}
