--- a/review/standin/src/bin/crowd.rs
+++ b/review/standin/src/bin/crowd.rs
@@ -3,6 +3,9 @@
 //! Two marshals watch discovery. From one moment on the calls of marshal A wait for 2 s in discovery's queue
 //! and are turned away with 503; the watch of marshal B stands. Then a node begins to drain. B is told at
 //! once. A is not, but the change counts as told to A 6 s after discovery had it.
+//!
+//! With the argument `outage` discovery is down for 8 s before that and ends the watches with 503, and the node
+//! begins to drain when it is back.
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -68,6 +71,15 @@
     });
     wait(5000);
     if trouble() {
+        if std::env::args().any(|argument| argument == "outage") {
+            for door in [&door_a, &door_b] {
+                door.says_so.store(true, Ordering::SeqCst);
+            }
+            discovery.go_down();
+            wait(8000);
+            door_a.crowded.store(true, Ordering::SeqCst);
+            discovery.come_back();
+        }
         door_a.crowded.store(true, Ordering::SeqCst);
         record::line("discovery has too many callers: the calls of A wait for 2 s and are turned away");
         if !wait_for(12_000, || door_a.turned_away.load(Ordering::SeqCst) > 0) {
