--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -30,8 +30,9 @@
 /// within 200 ms.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A refusal faster than this did not wait in the queue.
-const IMMEDIATE_REFUSAL: Duration = Duration::from_millis(500);
+/// A call that has lasted for longer than this is out of discovery's queue, where it is refused after 2 s. The
+/// rest allows for the network and for a process that is suspended for a moment.
+const LONGEST_IN_QUEUE: Duration = Duration::from_millis(2300);
 
 /// Why a call returned no list.
 enum CallError {
@@ -159,22 +160,20 @@
         self.edge.dispatch(Input::Discovery(DiscoverySignal::Confirmed { as_of, next_within }), 0);
     }
 
-    /// Passes on what a failed call shows about discovery.
+    /// Passes on what a failed call proves. A call that fails sooner may have waited in the queue, so changes
+    /// may have been made that it would have told; one that fails without a status may have lost its connection
+    /// long before.
     fn report_failure(&self, call: &Call, why: &CallError) {
-        let CallError::Query(error) = why else { return };
-        let took = call.started.elapsed();
-        let event = match error {
-            QueryError::Status(_) if call.continued => DiscoverySignal::ShuttingDown,
-            QueryError::Status(_) if took < IMMEDIATE_REFUSAL => DiscoverySignal::Responsive,
-            QueryError::Status(_) => {
-                DiscoverySignal::RefusedLate { asked: self.edge.now().saturating_sub(took) }
+        let (now, took) = (self.edge.now(), call.started.elapsed());
+        let held = call.continued && took > LONGEST_IN_QUEUE && !self.edge.recently_stalled();
+        let signal = match why {
+            CallError::Query(QueryError::Status(_)) if held => {
+                DiscoverySignal::WatchEnded { asked: now.saturating_sub(took), as_of: now }
             }
-            // During an outage, calls are refused or reset; this one was accepted.
-            QueryError::TimedOut => DiscoverySignal::Responsive,
-            error if error.refused_connection() => DiscoverySignal::Unreachable,
+            CallError::Query(error) if error.refused_connection() => DiscoverySignal::Unreachable,
             _ => return,
         };
-        self.edge.dispatch(Input::Discovery(event), 0);
+        self.edge.dispatch(Input::Discovery(signal), 0);
     }
 
     /// Decides what follows a failed call.
--- /dev/null
+++ b/crates/edge/tests/hard/discovery_faults.rs
@@ -0,0 +1,287 @@
+//! How long the node list is used, by how calls to discovery fail. A failed call proves that the list was
+//! complete only where discovery ends a watch that it has held for longer than a call can wait in its queue.
+
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::platform_scene::*;
+use crate::scene::*;
+
+/// A drain that discovery had at some time may be unknown to the marshal for 6 s, and new work may be sent for
+/// the grace of 1 s after that; every limit is 50 ms longer on sockets.
+const LAST_SEND_BEFORE: Duration = Duration::from_millis(7100);
+/// The same, from a config reload: 4 s in place of 6 s.
+const LAST_SEND_AFTER_RELOAD_BEFORE: Duration = Duration::from_millis(5100);
+/// The marshal serves at least until a drain could count as known.
+const SERVES_FOR: Duration = Duration::from_secs(6);
+/// The same, from a config reload.
+const SERVES_AFTER_RELOAD_FOR: Duration = Duration::from_secs(4);
+/// How long a call waits in discovery's queue before it is refused.
+const QUEUE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The age of a watch that has certainly left the queue.
+const HELD_FOR: Duration = Duration::from_millis(2600);
+/// The hold of a call that continues a watch.
+const HOLD: Duration = Duration::from_secs(3);
+
+/// How a call fails.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Failure {
+    /// 503 at once.
+    EarlyRefusal,
+    /// 503 after the time that a call may wait in the queue.
+    LateRefusal,
+    /// The connection is reset.
+    Reset,
+    /// Nothing is answered; the connection stays open.
+    Silence,
+}
+
+const FAILURES: [Failure; 4] =
+    [Failure::EarlyRefusal, Failure::LateRefusal, Failure::Reset, Failure::Silence];
+
+/// A discovery service that fails on demand.
+struct FaultyDiscovery {
+    addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    list: String,
+    /// How calls fail now; they are answered if `None`.
+    failure: Option<Failure>,
+    /// When a list or the news that nothing has changed was last written.
+    last_answer: Option<Instant>,
+    /// When the last call arrived.
+    last_call: Option<Instant>,
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+fn refuse(stream: &mut TcpStream) -> bool {
+    write_text(stream, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+}
+
+impl FaultyDiscovery {
+    fn new(node: SocketAddr, failure: Option<Failure>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let list = member_list(&[(node, 1)]);
+        let state = State { list, failure, last_answer: None, last_call: None };
+        let discovery = FaultyDiscovery { addr, state: Arc::new(Mutex::new(state)) };
+        let state = discovery.state.clone();
+        std::thread::spawn(move || listen(&listener, &state));
+        discovery
+    }
+
+    fn fail(&self, failure: Option<Failure>) {
+        self.state.lock().unwrap().failure = failure;
+    }
+
+    fn last_answer(&self) -> Option<Instant> {
+        self.state.lock().unwrap().last_answer
+    }
+
+    /// Waits for a call that continues the watch, and returns when the answer before it was written.
+    fn wait_for_continued_call(&self) -> Instant {
+        wait_for("the first answer", ms(5000), || self.last_answer().is_some());
+        let first = self.last_answer();
+        wait_for("the answer after a hold", ms(6000), || self.last_answer() > first);
+        // Short holds and the first continued call are over once an answer was held for so long.
+        let mut answer = self.last_answer().unwrap();
+        loop {
+            wait_for("an answer", ms(6000), || self.last_answer() > Some(answer));
+            let next = self.last_answer().unwrap();
+            let held = next - answer > HOLD - ms(200);
+            answer = next;
+            if held {
+                break;
+            }
+        }
+        wait_for("the call after it", ms(1000), || self.state.lock().unwrap().last_call > Some(answer));
+        answer
+    }
+}
+
+/// Serves each connection on its own thread.
+fn listen(listener: &TcpListener, state: &Arc<Mutex<State>>) {
+    for stream in listener.incoming() {
+        let Ok(mut stream) = stream else { return };
+        let state = state.clone();
+        std::thread::spawn(move || {
+            while let Some(message) = read_message(&mut stream) {
+                if !serve_call(&mut stream, &message, &state) {
+                    return;
+                }
+            }
+        });
+    }
+}
+
+/// Handles one call; false if the connection is of no more use.
+fn serve_call(stream: &mut TcpStream, message: &str, state: &Mutex<State>) -> bool {
+    let called_at = Instant::now();
+    state.lock().unwrap().last_call = Some(called_at);
+    let hold_ms = message.split("hold_ms=").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+    let hold = Duration::from_millis(hold_ms.unwrap_or(0));
+    loop {
+        let mut locked = state.lock().unwrap();
+        match locked.failure {
+            None if called_at.elapsed() >= hold => {
+                let known = message.contains("from=1");
+                let body = if known {
+                    r#"{"revision":1,"complete":false,"members":[]}"#.to_owned()
+                } else {
+                    locked.list.clone()
+                };
+                let written = write_ok(stream, &body);
+                locked.last_answer = Some(Instant::now());
+                return written;
+            }
+            Some(Failure::EarlyRefusal) => return refuse(stream),
+            Some(Failure::LateRefusal) if called_at.elapsed() >= QUEUE_TIMEOUT => return refuse(stream),
+            Some(Failure::Reset) => {
+                reset(stream);
+                return false;
+            }
+            Some(Failure::Silence) => {
+                drop(locked);
+                closes_within(stream, ms(12_000));
+                return false;
+            }
+            None | Some(Failure::LateRefusal) => {}
+        }
+        drop(locked);
+        std::thread::sleep(ms(2));
+    }
+}
+
+/// A marshal with one node, which a client keeps busy.
+struct Fixture {
+    running: ivydrift_edge::Running,
+    discovery: FaultyDiscovery,
+    platform: Platform,
+    node: SocketAddr,
+    /// When RPCs reached the node.
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+    requests: AtomicUsize,
+}
+
+impl Fixture {
+    fn new(failure: Option<Failure>) -> Self {
+        let arrivals = Arc::new(Mutex::new(Vec::new()));
+        let log = arrivals.clone();
+        let node = node(Box::new(move |_, stream| {
+            log.lock().unwrap().push(Instant::now());
+            write_ok(stream, "node")
+        }));
+        let discovery = FaultyDiscovery::new(node.addr, failure);
+        let platform = platform_with(discovery.addr);
+        let text = config_with_known_node("127.0.0.1:0".parse().unwrap(), &platform, node.addr);
+        let start = ivydrift_platform::start::parse("start.json", &text).unwrap();
+        let running = ivydrift_edge::start_platform(start).unwrap();
+        Fixture { running, discovery, platform, node: node.addr, arrivals, requests: AtomicUsize::new(0) }
+    }
+
+    /// Sends RPCs for this time. Returns when the last one reached the node.
+    fn send_for(&self, span: Duration) -> Option<Instant> {
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            let number = self.requests.fetch_add(1, Ordering::Relaxed);
+            let mut stream = connect(self.running.listen_addr);
+            write_text(&mut stream, &read_request(&format!("f{number}")));
+            answer(&mut stream).expect("an answer");
+            std::thread::sleep(ms(30));
+        }
+        self.last_arrival()
+    }
+
+    fn last_arrival(&self) -> Option<Instant> {
+        self.arrivals.lock().unwrap().last().copied()
+    }
+}
+
+fn platform_with(discovery: SocketAddr) -> Platform {
+    let discovery = Node { addr: discovery, received: Arc::default(), connections: Arc::default() };
+    Platform { discovery, ..start_platform(&[], &[]) }
+}
+
+/// Checks when the last RPC was sent.
+fn assert_last_send(case: &str, from: Instant, last: Option<Instant>, earliest: Duration, before: Duration) {
+    let last = last.unwrap_or_else(|| panic!("{case}: no RPC was sent")) - from;
+    assert!(last < before, "{case}: an RPC was sent {last:?} after the list was last known to be complete");
+    assert!(last > earliest, "{case}: no RPC was sent later than {last:?}, though the list was usable");
+}
+
+/// Plays each case with a marshal of its own, all at the same time.
+fn play_all<T: Copy + std::fmt::Debug + Send + 'static>(cases: &[T], play: fn(T)) {
+    let threads: Vec<_> = cases
+        .iter()
+        .map(|case| {
+            std::thread::spawn({
+                let case = *case;
+                move || play(case)
+            })
+        })
+        .collect();
+    let failed = threads.into_iter().filter_map(|thread| thread.join().err()).count();
+    assert_eq!(failed, 0, "of {cases:?}");
+}
+
+/// Guards against review/1: a refusal of a queued call was taken for an outage, and the list was used for 30 s.
+#[test]
+fn a_failed_watch_does_not_prolong_the_use_of_the_node_list() {
+    play_all(&FAILURES, |failure| {
+        let fixture = Fixture::new(None);
+        let complete_at = fixture.discovery.wait_for_continued_call();
+        fixture.discovery.fail(Some(failure));
+        let last = fixture.send_for(ms(9500));
+        assert_last_send(&format!("{failure:?}"), complete_at, last, SERVES_FOR, LAST_SEND_BEFORE);
+    });
+}
+
+/// A watch that discovery ends after it has held it was complete until then; what new calls show is not
+/// counted in addition.
+#[test]
+fn a_held_watch_that_discovery_ends_confirms_the_node_list_once() {
+    play_all(&FAILURES, |failure| {
+        let fixture = Fixture::new(None);
+        fixture.discovery.wait_for_continued_call();
+        std::thread::sleep(HELD_FOR);
+        fixture.discovery.fail(Some(Failure::EarlyRefusal));
+        let ended_at = Instant::now();
+        std::thread::sleep(ms(20));
+        fixture.discovery.fail(Some(failure));
+        let last = fixture.send_for(ms(9500));
+        assert_last_send(&format!("{failure:?}"), ended_at, last, SERVES_FOR, LAST_SEND_BEFORE);
+    });
+}
+
+/// After a reload, the list has to be confirmed sooner, however calls to the new address fail.
+#[test]
+fn a_failed_call_after_a_reload_does_not_prolong_the_use_of_the_node_list() {
+    play_all(&FAILURES, |failure| {
+        let fixture = Fixture::new(None);
+        fixture.discovery.wait_for_continued_call();
+        let moved = FaultyDiscovery::new(fixture.node, Some(failure));
+        let platform =
+            Platform { rollout_controller: fixture.platform.rollout_controller, ..platform_with(moved.addr) };
+        let text = config_with_known_node("127.0.0.1:0".parse().unwrap(), &platform, fixture.node);
+        let config = ivydrift_platform::start::parse("start.json", &text).unwrap();
+        let reloaded_at = Instant::now();
+        fixture.running.reload_announced();
+        fixture.running.reload_on_platform(config).unwrap();
+        let last = fixture.send_for(ms(7500));
+        assert_last_send(
+            &format!("{failure:?}"),
+            reloaded_at,
+            last,
+            SERVES_AFTER_RELOAD_FOR,
+            LAST_SEND_AFTER_RELOAD_BEFORE,
+        );
+    });
+}
--- a/crates/edge/tests/hard/main.rs
+++ b/crates/edge/tests/hard/main.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod clients;
+mod discovery_faults;
 mod machine;
 mod membership;
 mod nodes;
--- a/crates/edge/tests/hard/platform_scene.rs
+++ b/crates/edge/tests/hard/platform_scene.rs
@@ -94,6 +94,13 @@
         .replace("\"sockets\": 1024", "\"sockets\": 256")
 }
 
+/// A config file that lists this node as known from before.
+pub fn config_with_known_node(listen: SocketAddr, platform: &Platform, node: SocketAddr) -> String {
+    config_file(listen, platform)
+        .replace("\"phase\": \"left\"", "\"phase\": \"active\"")
+        .replace("10.1.0.18:5000", &node.to_string())
+}
+
 /// A marshal in this process with its scripted platform.
 pub struct PlatformScene {
     pub running: ivydrift_edge::Running,
--- a/crates/policy/src/policy/list_lease.rs
+++ b/crates/policy/src/policy/list_lease.rs
@@ -4,9 +4,8 @@
 //! not it has arrived. A marshal without an answer for that long does not know which of its nodes are
 //! draining, and sends nothing new until it gets one.
 //!
-//! An outage that discovery announced, by ending a watch, does not count against the lease until something
-//! shows that it is over. This is the only assumption made in the marshal's favour: late refusals look the
-//! same whether discovery is still down or has too many callers.
+//! Only what proves that the list was complete at some time extends the lease. A failed call proves nothing
+//! of that kind, as discovery may be up and have too many callers.
 
 use super::*;
 
@@ -14,9 +13,6 @@
 /// the write.
 const LEASE_MARGIN: Duration = ms(300);
 
-/// Longest time for which an announced outage extends the lease.
-const MAX_OUTAGE: Duration = ms(30_000);
-
 impl ListLease {
     /// Applies a new config.
     pub fn configure(&mut self, rules: &RuleConfig) {
@@ -30,8 +26,7 @@
 
     /// Whether the list may be used for new work now.
     pub fn is_valid(&self, now: Duration) -> bool {
-        let in_outage = self.outage.is_some_and(|outage| now < outage.since + MAX_OUTAGE);
-        self.bounds.is_none() || in_outage || self.valid_until.is_some_and(|until| now < until)
+        self.bounds.is_none() || self.valid_until.is_some_and(|until| now < until)
     }
 
     /// Called at each call of `handle`; the first one starts the lease as expired. How long the process was
@@ -43,47 +38,32 @@
         }
     }
 
-    /// Updates the lease by what a call to discovery revealed.
+    /// Updates the lease by what a call to discovery proved.
     pub fn observe(&mut self, now: Duration, signal: DiscoverySignal) {
         let (Some(bounds), Some(until)) = (self.bounds, self.valid_until) else { return };
-        let delivery = bounds.delivered_within;
         self.valid_until = Some(match signal {
-            DiscoverySignal::Confirmed { as_of, .. } => {
-                self.outage = None;
-                self.expiry(as_of, delivery)
-            }
-            DiscoverySignal::ShuttingDown => {
-                // An expired list does not become valid by that.
-                let was_valid = now < until;
-                self.outage =
-                    self.outage.or(was_valid.then_some(Outage { since: now, last_failed_call: now }));
-                if was_valid {
-                    self.expiry(now, delivery)
+            DiscoverySignal::Confirmed { as_of, .. } => self.end_of_grace(as_of + bounds.delivered_within),
+            DiscoverySignal::WatchEnded { asked, as_of } => {
+                // An expired list does not become valid by a call that failed, and a watch from before a
+                // reload may have ended because discovery has moved.
+                let applies = now < until && self.reloaded_at.is_none_or(|reload| reload < asked);
+                if applies {
+                    until.max(self.end_of_grace(as_of + bounds.delivered_within))
                 } else {
                     until
                 }
             }
-            DiscoverySignal::Unreachable => until.max(self.expiry(now, delivery)),
-            DiscoverySignal::RefusedLate { asked } => {
-                self.outage = self
-                    .outage
-                    .map(|outage| Outage { last_failed_call: outage.last_failed_call.max(asked), ..outage });
-                until
-            }
-            // Discovery may have been back since the last call that failed as in an outage.
-            DiscoverySignal::Responsive => {
-                self.outage.take().map_or(until, |outage| self.expiry(outage.last_failed_call, delivery))
-            }
+            DiscoverySignal::Unreachable => until.max(self.end_of_grace(now + bounds.delivered_within)),
             DiscoverySignal::Reloaded => {
-                self.outage = None;
-                until.min(self.expiry(now, bounds.delivered_after_reload))
+                self.reloaded_at = Some(now);
+                until.min(self.end_of_grace(now + bounds.delivered_after_reload))
             }
         });
     }
 
-    /// End of the lease on a list that was complete at `from`, where changes count as delivered after
-    /// `delivery`: that, the drain grace, and less the safety margin.
-    fn expiry(&self, from: Duration, delivery: Duration) -> Duration {
-        (from + delivery + self.drain_grace).saturating_sub(LEASE_MARGIN)
+    /// Until when sends are allowed if a drain may count as delivered at `delivered`: the drain grace after
+    /// that, less the safety margin.
+    fn end_of_grace(&self, delivered: Duration) -> Duration {
+        (delivered + self.drain_grace).saturating_sub(LEASE_MARGIN)
     }
 }
--- a/crates/policy/src/port.rs
+++ b/crates/policy/src/port.rs
@@ -275,21 +275,21 @@
     Local,
 }
 
-/// What a call revealed about discovery, where the marshal talks to it itself.
+/// What the calls to discovery prove about the node list, where the marshal talks to discovery itself.
+///
+/// Most failures of a call prove nothing, whether it ends in a status, a reset or no answer at all: a discovery
+/// service that is overloaded fails in the same ways as one that is down. They have no signal of their own; the
+/// list stays valid for as long as it was.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DiscoverySignal {
     /// A complete answer: the list was known in full at `as_of`. The next sign of life is due within
     /// `next_within`.
     Confirmed { as_of: Duration, next_within: Duration },
-    /// Discovery itself ended an established watch: it is shutting down. The list was known in full until
-    /// now.
-    ShuttingDown,
+    /// Discovery itself ended a watch that it had been holding since some time after `asked`: the list was
+    /// known in full at `as_of`.
+    WatchEnded { asked: Duration, as_of: Duration },
     /// Nothing listens at its address.
     Unreachable,
-    /// A call made at `asked` was refused after a wait: discovery is down, or has too many callers.
-    RefusedLate { asked: Duration },
-    /// A call was refused at once, or accepted and not answered: discovery is up.
-    Responsive,
     /// A new config is in force.
     Reloaded,
 }
--- a/crates/policy/src/state/discovery_client.rs
+++ b/crates/policy/src/state/discovery_client.rs
@@ -31,15 +31,6 @@
     pub drain_grace: Duration,
     /// End of the lease; none before the first event, or where the list's validity was never bounded.
     pub valid_until: Option<Duration>,
-    /// The outage that discovery has announced, if any.
-    pub outage: Option<Outage>,
-}
-
-/// Discovery has announced that it shuts down, and nothing has shown since that it is back.
-#[derive(Clone, Copy)]
-pub struct Outage {
-    /// When it was announced.
-    pub since: Duration,
-    /// When the last call was made that failed as calls do during an outage.
-    pub last_failed_call: Duration,
+    /// When the last config reload was announced.
+    pub reloaded_at: Option<Duration>,
 }
