--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -160,20 +160,16 @@
         self.edge.dispatch(Input::Discovery(DiscoverySignal::Confirmed { as_of, next_within }), 0);
     }
 
-    /// Passes on what a failed call proves. A call that fails sooner may have waited in the queue, so changes
-    /// may have been made that it would have told; one that fails without a status may have lost its connection
-    /// long before.
+    /// Passes on what a failed call proves: nothing, unless discovery ended a watch that it was holding. A call
+    /// that fails sooner may have waited in the queue, so changes may have been made that it would have told;
+    /// one that fails without a status may have lost its connection long before.
     fn report_failure(&self, call: &Call, why: &CallError) {
         let (now, took) = (self.edge.now(), call.started.elapsed());
         let held = call.continued && took > LONGEST_IN_QUEUE && !self.edge.recently_stalled();
-        let signal = match why {
-            CallError::Query(QueryError::Status(_)) if held => {
-                DiscoverySignal::WatchEnded { asked: now.saturating_sub(took), as_of: now }
-            }
-            CallError::Query(error) if error.refused_connection() => DiscoverySignal::Unreachable,
-            _ => return,
-        };
-        self.edge.dispatch(Input::Discovery(signal), 0);
+        if held && matches!(why, CallError::Query(QueryError::Status(_))) {
+            let signal = DiscoverySignal::WatchEnded { asked: now.saturating_sub(took), as_of: now };
+            self.edge.dispatch(Input::Discovery(signal), 0);
+        }
     }
 
     /// Decides what follows a failed call.
--- a/crates/policy/src/policy/list_lease.rs
+++ b/crates/policy/src/policy/list_lease.rs
@@ -53,7 +53,6 @@
                     until
                 }
             }
-            DiscoverySignal::Unreachable => until.max(self.end_of_grace(now + bounds.delivered_within)),
             DiscoverySignal::Reloaded => {
                 self.reloaded_at = Some(now);
                 until.min(self.end_of_grace(now + bounds.delivered_after_reload))
--- a/crates/policy/src/port.rs
+++ b/crates/policy/src/port.rs
@@ -277,9 +277,10 @@
 
 /// What the calls to discovery prove about the node list, where the marshal talks to discovery itself.
 ///
-/// Most failures of a call prove nothing, whether it ends in a status, a reset or no answer at all: a discovery
-/// service that is overloaded fails in the same ways as one that is down. They have no signal of their own; the
-/// list stays valid for as long as it was.
+/// Most failures of a call prove nothing, and have no signal of their own; the list stays valid for as long as
+/// it was. A call that ends in a status, a reset or no answer at all may have met a discovery service that is
+/// overloaded. A refused connection shows that discovery is down now, but not that it was down, or had nothing
+/// to tell, since the list was last known in full.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DiscoverySignal {
     /// A complete answer: the list was known in full at `as_of`. The next sign of life is due within
@@ -288,8 +289,6 @@
     /// Discovery itself ended a watch that it had been holding since some time after `asked`: the list was
     /// known in full at `as_of`.
     WatchEnded { asked: Duration, as_of: Duration },
-    /// Nothing listens at its address.
-    Unreachable,
     /// A new config is in force.
     Reloaded,
 }
