--- a/crates/policy/src/policy/list_lease.rs
+++ b/crates/policy/src/policy/list_lease.rs
@@ -42,13 +42,13 @@
     pub fn observe(&mut self, now: Duration, signal: DiscoverySignal) {
         let (Some(bounds), Some(until)) = (self.bounds, self.valid_until) else { return };
         self.valid_until = Some(match signal {
-            DiscoverySignal::Confirmed { as_of, .. } => self.end_of_grace(as_of + bounds.delivered_within),
+            DiscoverySignal::Confirmed { as_of, .. } => self.expiry(as_of, bounds),
             DiscoverySignal::WatchEnded { asked, as_of } => {
                 // An expired list does not become valid by a call that failed, and a watch from before a
                 // reload may have ended because discovery has moved.
                 let applies = now < until && self.reloaded_at.is_none_or(|reload| reload < asked);
                 if applies {
-                    until.max(self.end_of_grace(as_of + bounds.delivered_within))
+                    until.max(self.expiry(as_of, bounds))
                 } else {
                     until
                 }
@@ -60,6 +60,16 @@
         });
     }
 
+    /// End of the lease on a list that was complete at `as_of`.
+    fn expiry(&self, as_of: Duration, bounds: ListLeaseConfig) -> Duration {
+        let by_age = as_of + bounds.delivered_within;
+        // What discovery had at a later reload counts as delivered sooner.
+        let reloaded_since = self.reloaded_at.filter(|reload| as_of < *reload);
+        let delivered =
+            reloaded_since.map_or(by_age, |reload| by_age.min(reload + bounds.delivered_after_reload));
+        self.end_of_grace(delivered)
+    }
+
     /// Until when sends are allowed if a drain may count as delivered at `delivered`: the drain grace after
     /// that, less the safety margin.
     fn end_of_grace(&self, delivered: Duration) -> Duration {
--- a/crates/policy/tests/marshal/list_lease.rs
+++ b/crates/policy/tests/marshal/list_lease.rs
@@ -113,6 +113,21 @@
     );
 }
 
+/// A process that was suspended only knows that the list was complete when it made the call.
+#[test]
+fn a_confirmation_from_before_a_reload_does_not_undo_it() {
+    let mut sim = with_list_lease();
+    confirm_list(&mut sim);
+    sim.run(ms(1000), 20);
+    let as_of = sim.now - ms(100);
+    report_sign(&mut sim, DiscoverySignal::Reloaded);
+    report_sign(&mut sim, DiscoverySignal::Confirmed { as_of, next_within: ms(3800) });
+    let last_pick_ms = ms_until_last_pick(&mut sim);
+    assert!((4400..4950).contains(&last_pick_ms), "last pick {last_pick_ms} ms after the reload");
+    confirm_list(&mut sim);
+    assert!(ms_until_last_pick(&mut sim) > 6400, "a later confirmation is not bound by the reload");
+}
+
 #[test]
 fn list_without_lease_never_expires() {
     let mut sim = Simulation::new(base_config(), 4);
