--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -21,11 +21,11 @@
 
 /// How much longer than its hold time the answer of a continued watch may take.
 const CONTINUED_SLACK: Duration = Duration::from_millis(800);
-/// How long a call that opens a watch may wait in the queue, in addition to its hold time.
+/// How long a call that opens a watch may wait in the queue.
 const QUEUE_WAIT: Duration = Duration::from_millis(2600);
-/// The longest hold time of a call that opens a watch. It is short so that the answer soon shows that
-/// discovery is alive.
-const OPENING_HOLD: Duration = Duration::from_millis(400);
+/// Hold time of a call that opens a watch: it is answered at its turn, since the marshal may be refusing RPCs
+/// until then.
+const OPENING_HOLD: Duration = Duration::ZERO;
 /// Minimum interval between calls if discovery answers at once. A watch continues if the next call comes
 /// within 200 ms.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(100);
@@ -126,14 +126,15 @@
     fn call(&mut self) -> (Call, Result<Vec<u8>, QueryError>) {
         let continued = self.continues_watch;
         let max_hold = self.edge.limits().list_query_wait;
-        let hold = if continued { max_hold } else { max_hold.min(OPENING_HOLD) };
+        let hold = if continued { max_hold } else { OPENING_HOLD };
         let slack = if continued { CONTINUED_SLACK } else { QUEUE_WAIT };
         let path = self.platform.catalog.lock().unwrap().next_request_target(hold.as_millis() as u64);
         let call = Call { started: Instant::now(), hold, continued, incremental: path.contains('?') };
         let answer = self.client.send("GET", &path, b"", MAX_LIST_BYTES, hold + slack);
         let took_ms = call.started.elapsed().as_millis() as u64;
         match &answer {
-            Ok(_) => tracing::debug!(path, took_ms, continued, "membership call answered"),
+            Ok(_) if continued => tracing::debug!(path, took_ms, continued, "membership call answered"),
+            Ok(_) => tracing::info!(path, took_ms, continued, "membership call answered"),
             Err(why) => tracing::info!(path, took_ms, continued, %why, "membership call failed"),
         }
         (call, answer.map(|reply| reply.body))
