--- a/crates/edge/tests/hard/main.rs
+++ b/crates/edge/tests/hard/main.rs
@@ -4,6 +4,7 @@
 mod bodies;
 mod clients;
 mod discovery_faults;
+mod faulty_discovery;
 mod machine;
 mod membership;
 mod nodes;
