--- a/crates/edge/tests/soak/net.rs
+++ b/crates/edge/tests/soak/net.rs
@@ -19,6 +19,36 @@
     addr
 }
 
+/// Interval at which [`listen_while`] looks for new connections and for its condition.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Like [`listen`], but connections are refused while `is_open` returns false.
+pub fn listen_while(
+    is_open: impl Fn() -> bool + Send + 'static, serve: impl Fn(&mut TcpStream) + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (addr, serve) = (listener.local_addr().unwrap(), Arc::new(serve));
+    let mut listener = Some(listener);
+    std::thread::spawn(move || loop {
+        std::thread::sleep(ACCEPT_INTERVAL);
+        if !is_open() {
+            listener = None;
+            continue;
+        }
+        if listener.is_none() {
+            listener = TcpListener::bind(addr).ok();
+        }
+        let Some(listener) = &listener else { continue };
+        listener.set_nonblocking(true).unwrap();
+        while let Ok((mut stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).unwrap();
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(&mut stream));
+        }
+    });
+    addr
+}
+
 /// Reads one message, framed by its Content-Length; `None` if the stream ends or fails first.
 pub fn read_message(stream: &mut TcpStream) -> Option<String> {
     let (mut text, mut byte) = (Vec::new(), [0]);
