--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -17,7 +17,7 @@
 use crate::query::{QueryClient, QueryError};
 use crate::services::WatchClaim;
 use crate::watch::STUCK_AFTER;
-use crate::Edge;
+use crate::{Edge, STALL_THRESHOLD};
 
 /// How much longer than its hold time the answer of a continued watch may take.
 const CONTINUED_SLACK: Duration = Duration::from_millis(800);
@@ -30,9 +30,12 @@
 /// within 200 ms.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// A call that has lasted for longer than this is out of discovery's queue, where it is refused after 2 s. The
-/// rest allows for the network and for a process that is suspended for a moment.
-const LONGEST_IN_QUEUE: Duration = Duration::from_millis(2300);
+/// How long a call may wait in discovery's queue until it is refused.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(2000);
+/// A call that has lasted for longer than this has left the queue: the rest is for the network, and for a stall
+/// too short to be detected.
+const LONGEST_IN_QUEUE: Duration =
+    QUEUE_TIMEOUT.saturating_add(Duration::from_millis(50)).saturating_add(STALL_THRESHOLD);
 
 /// Why a call returned no list.
 enum CallError {
