--- a/crates/policy/src/policy/list_lease.rs
+++ b/crates/policy/src/policy/list_lease.rs
@@ -41,38 +41,28 @@
     /// Updates the lease by what a call to discovery proved.
     pub fn observe(&mut self, now: Duration, signal: DiscoverySignal) {
         let (Some(bounds), Some(until)) = (self.bounds, self.valid_until) else { return };
+        let precedes_reload = |at: Duration| self.reloaded_at.is_some_and(|reload| at < reload);
         self.valid_until = Some(match signal {
-            DiscoverySignal::Confirmed { as_of, .. } => self.expiry(as_of, bounds),
-            DiscoverySignal::WatchEnded { asked, as_of } => {
-                // An expired list does not become valid by a call that failed, and a watch from before a
-                // reload may have ended because discovery has moved.
-                let applies = now < until && self.reloaded_at.is_none_or(|reload| reload < asked);
-                if applies {
-                    until.max(self.expiry(as_of, bounds))
-                } else {
-                    until
-                }
+            // The list may have changed between that time and the reload, after which changes count as
+            // delivered sooner.
+            DiscoverySignal::Confirmed { as_of, .. } if precedes_reload(as_of) => until,
+            DiscoverySignal::Confirmed { as_of, .. } => self.expiry(as_of, bounds.delivered_within),
+            // An expired list does not become valid by a call that failed, and a watch from before a reload may
+            // have ended because discovery has moved.
+            DiscoverySignal::WatchEnded { asked, .. } if now >= until || precedes_reload(asked) => until,
+            DiscoverySignal::WatchEnded { as_of, .. } => {
+                until.max(self.expiry(as_of, bounds.delivered_within))
             }
             DiscoverySignal::Reloaded => {
                 self.reloaded_at = Some(now);
-                until.min(self.end_of_grace(now + bounds.delivered_after_reload))
+                until.min(self.expiry(now, bounds.delivered_after_reload))
             }
         });
     }
 
-    /// End of the lease on a list that was complete at `as_of`.
-    fn expiry(&self, as_of: Duration, bounds: ListLeaseConfig) -> Duration {
-        let by_age = as_of + bounds.delivered_within;
-        // What discovery had at a later reload counts as delivered sooner.
-        let reloaded_since = self.reloaded_at.filter(|reload| as_of < *reload);
-        let delivered =
-            reloaded_since.map_or(by_age, |reload| by_age.min(reload + bounds.delivered_after_reload));
-        self.end_of_grace(delivered)
-    }
-
-    /// Until when sends are allowed if a drain may count as delivered at `delivered`: the drain grace after
-    /// that, less the safety margin.
-    fn end_of_grace(&self, delivered: Duration) -> Duration {
-        (delivered + self.drain_grace).saturating_sub(LEASE_MARGIN)
+    /// End of the lease on a list that was complete at `from`, where changes count as delivered after
+    /// `delivery`: that, the drain grace, and less the safety margin.
+    fn expiry(&self, from: Duration, delivery: Duration) -> Duration {
+        (from + delivery + self.drain_grace).saturating_sub(LEASE_MARGIN)
     }
 }
--- a/crates/policy/tests/marshal/list_lease.rs
+++ b/crates/policy/tests/marshal/list_lease.rs
@@ -128,6 +128,21 @@
     assert!(ms_until_last_pick(&mut sim) > 6400, "a later confirmation is not bound by the reload");
 }
 
+/// The earlier of two reloads binds what was known before both.
+#[test]
+fn a_confirmation_from_before_two_reloads_is_bound_by_the_first() {
+    let mut sim = with_list_lease();
+    confirm_list(&mut sim);
+    sim.run(ms(1000), 20);
+    let as_of = sim.now - ms(100);
+    report_sign(&mut sim, DiscoverySignal::Reloaded);
+    sim.run(ms(1500), 20);
+    report_sign(&mut sim, DiscoverySignal::Reloaded);
+    report_sign(&mut sim, DiscoverySignal::Confirmed { as_of, next_within: ms(3800) });
+    let last_pick_ms = ms_until_last_pick(&mut sim) + 1500;
+    assert!((4400..4950).contains(&last_pick_ms), "last pick {last_pick_ms} ms after the first reload");
+}
+
 #[test]
 fn list_without_lease_never_expires() {
     let mut sim = Simulation::new(base_config(), 4);
