--- a/crates/edge/tests/soak/net.rs
+++ b/crates/edge/tests/soak/net.rs
@@ -83,6 +83,13 @@
     write_text(stream, &format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()))
 }
 
+/// Makes the connection end in a reset, not in an orderly close, once the stream is dropped. Always returns
+/// false: the connection must not be used again.
+pub fn reset_on_close(stream: &TcpStream) -> bool {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    false
+}
+
 /// Waits until the peer closes, for this time at most. Always returns false: the connection must not be used
 /// again.
 pub fn wait_for_close(stream: &mut TcpStream, within: Duration) -> bool {
