--- a/review/standin-2/src/platform.rs
+++ b/review/standin-2/src/platform.rs
@@ -4,7 +4,6 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
 
 use crate::common::*;
 
@@ -24,19 +23,17 @@
     members: BTreeMap<String, (u64, Member)>,
 }
 
-/// Discovery. Calls are served at once unless it is crowded.
+/// Discovery. Calls are served at once.
 pub struct Discovery {
     list: Mutex<List>,
     changed: Condvar,
-    /// Since and until when it has too many callers, and how long a call waits then until it is turned away.
-    pub crowd: Mutex<Option<(Duration, Duration, Duration)>>,
     record: Arc<Record>,
 }
 
 impl Discovery {
     pub fn new(record: &Arc<Record>) -> Arc<Discovery> {
         let record = record.clone();
-        Arc::new(Discovery { list: Mutex::default(), changed: Condvar::new(), crowd: Mutex::new(None), record })
+        Arc::new(Discovery { list: Mutex::default(), changed: Condvar::new(), record })
     }
 
     /// Adds or changes entries; all in one revision.
@@ -79,22 +76,13 @@
             let query = |name: &str| -> Option<u64> {
                 target.split(['?', '&']).find_map(|part| part.strip_prefix(name)).and_then(|n| n.parse().ok())
             };
-            let crowd = (*self.crowd.lock().unwrap()).filter(|c| (c.0..c.1).contains(&call.ended));
-            let text = match crowd {
-                Some((.., wait)) => {
-                    std::thread::sleep(wait);
-                    answer("503 Busy", "", "")
-                }
-                None => {
-                    let known = query("from=").filter(|known| *known <= self.list.lock().unwrap().revision);
-                    if let Some(known) = known {
-                        let hold = ms(query("hold_ms=").unwrap_or(0).min(60_000));
-                        let list = self.list.lock().unwrap();
-                        drop(self.changed.wait_timeout_while(list, hold, |list| list.revision <= known));
-                    }
-                    answer("200 OK", "Content-Type: application/json\r\n", &self.text(known))
-                }
-            };
+            let known = query("from=").filter(|known| *known <= self.list.lock().unwrap().revision);
+            if let Some(known) = known {
+                let hold = ms(query("hold_ms=").unwrap_or(0).min(60_000));
+                let list = self.list.lock().unwrap();
+                drop(self.changed.wait_timeout_while(list, hold, |list| list.revision <= known));
+            }
+            let text = answer("200 OK", "Content-Type: application/json\r\n", &self.text(known));
             let took = (now() - call.ended).as_millis();
             self.record.note(&format!("discovery from={port} call={target} took_ms={took} answer={}", &text[9..12]));
             if stream.write_all(text.as_bytes()).is_err() {
