--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -96,6 +96,7 @@
     fn run(&mut self) -> bool {
         loop {
             self.client.mark_idle();
+            self.socket.wait_for_turn();
             let (request, first_byte_at) = match self.read_head() {
                 Ok(read) => read,
                 Err(ReadError::Closed) => return false,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,7 +32,7 @@
 use ivydrift_marshal::{
     Command, Counts, Id, Input, InstanceId, Observation, Output, Repeat, Services, PRIMARY,
 };
-use ivydrift_sockets::{Listener, Waker};
+use ivydrift_sockets::{Listener, Turn, TurnClass, Waker};
 use ivydrift_terms::{Addresses, Config, Limits, Names};
 use ivydrift_wire::peer;
 use may::net::UdpSocket;
@@ -568,7 +568,10 @@
 fn receive_from_peers(edge: &Arc<Edge>) {
     let Some(socket) = &edge.peers else { return };
     let mut datagram = [0; peer::MAX_DATAGRAM_BYTES + 1];
+    let turn = Turn::new(TurnClass::Listener);
     loop {
+        turn.wait_if_used_up();
+        turn.record_operation();
         match socket.recv_from(&mut datagram) {
             Ok((n, from)) => {
                 let message = peer::read(&datagram[..n]);
--- a/crates/edge/tests/hard/main.rs
+++ b/crates/edge/tests/hard/main.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod discovery_faults;
 mod faulty_discovery;
+mod floods;
 mod machine;
 mod membership;
 mod nodes;
--- a/crates/sockets/src/coroutine.rs
+++ b/crates/sockets/src/coroutine.rs
@@ -40,16 +40,20 @@
 }
 
 /// Starts a coroutine.
-#[allow(unsafe_code)]
 pub fn spawn(body: impl FnOnce() + Send + 'static) {
     ALIVE_COUNT.fetch_add(1, Ordering::Relaxed);
     let alive = AliveGuard;
-    let counted = move || {
+    spawn_uncounted(move || {
         let _alive = alive;
         body();
-    };
+    });
+}
+
+/// Starts a coroutine of this crate that lives as long as the process and is not part of [`live_count`].
+#[allow(unsafe_code)]
+pub(crate) fn spawn_uncounted(body: impl FnOnce() + Send + 'static) {
     // SAFETY: see the module documentation.
-    let _detached = unsafe { may::coroutine::spawn(counted) };
+    let _detached = unsafe { may::coroutine::spawn(body) };
 }
 
 /// Delay before a task that panicked is restarted.
--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -5,8 +5,10 @@
 mod clock;
 pub mod coroutine;
 mod deadline;
+mod fair_share;
 mod listen;
 mod socket;
 
+pub use fair_share::{Turn, TurnClass};
 pub use listen::{listen, Listener, Waker};
 pub use socket::{out_of_descriptors, Socket, SocketHandle};
--- a/crates/sockets/src/listen.rs
+++ b/crates/sockets/src/listen.rs
@@ -8,6 +8,7 @@
 use may::net::{TcpListener, TcpStream};
 use socket2::{Domain, SockRef, Type};
 
+use crate::fair_share::{Turn, TurnClass};
 use crate::socket::Socket;
 
 /// Length of the listen backlog.
@@ -31,7 +32,10 @@
 /// A listener with a non-blocking accept and a separate wait, so that whoever closes it can first drain the
 /// backlog. may's own accept only waits, and connections left in the backlog are reset when the listener
 /// closes.
-pub struct Listener(TcpListener);
+pub struct Listener {
+    listener: TcpListener,
+    turn: Turn,
+}
 
 /// Wakes the coroutine that waits on a listener.
 pub struct Waker(WaitIoWaker);
@@ -49,7 +53,8 @@
     /// # Errors
     /// As [`listen`].
     pub fn bind(addr: SocketAddr) -> io::Result<Listener> {
-        listen(addr).map(Listener)
+        let listener = listen(addr)?;
+        Ok(Listener { listener, turn: Turn::new(TurnClass::Listener) })
     }
 
     /// The address that the listener is bound to.
@@ -57,20 +62,23 @@
     /// # Errors
     /// As reported by the system.
     pub fn local_addr(&self) -> io::Result<SocketAddr> {
-        self.0.local_addr()
+        self.listener.local_addr()
     }
 
-    /// Accepts a connection from the backlog, or returns `None` if it is empty.
+    /// Accepts a connection from the backlog, or returns `None` if it is empty. Waits for its next turn where
+    /// clients connect faster than they are accepted.
     ///
     /// # Errors
     /// Usually because no descriptors are left; connections keep their place in the backlog.
     #[allow(unsafe_code)]
     pub fn accept(&self) -> io::Result<Option<Socket>> {
+        self.turn.wait_if_used_up();
         // SAFETY: the descriptor is open as long as the listener, which outlives the call.
-        let fd = unsafe { BorrowedFd::borrow_raw(self.0.as_raw_fd()) };
+        let fd = unsafe { BorrowedFd::borrow_raw(self.listener.as_raw_fd()) };
         loop {
             match SockRef::from(&fd).accept() {
                 Ok((socket, _)) => {
+                    self.turn.record_operation();
                     socket.set_nonblocking(true)?;
                     // SAFETY: the descriptor is an open socket, handed over here and used nowhere else.
                     let stream = unsafe { TcpStream::from_raw_fd(socket.into_raw_fd()) };
@@ -86,11 +94,12 @@
 
     /// Waits until a connection may have arrived or a [`Waker`] is used.
     pub fn wait(&self) {
-        self.0.wait_io();
+        self.listener.wait_io();
+        self.turn.record_wait();
     }
 
     /// A handle that ends a [`Listener::wait`] from elsewhere.
     pub fn waker(&self) -> Waker {
-        Waker(self.0.waker())
+        Waker(self.listener.waker())
     }
 }
--- a/crates/sockets/src/socket.rs
+++ b/crates/sockets/src/socket.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::ReadTimeout;
 use crate::coroutine::sleep;
+use crate::fair_share::{Turn, TurnClass};
 
 /// EINPROGRESS and EINTR: in both cases the connect continues.
 const CONNECT_IN_PROGRESS: [i32; 2] = [115, 4];
@@ -35,6 +36,7 @@
     stream: TcpStream,
     handle: SocketHandle,
     read_timeout: Arc<ReadTimeout>,
+    turn: Turn,
 }
 
 /// Access to a connection for coroutines other than its owner. Has no effect once the owner has closed it.
@@ -98,7 +100,7 @@
         let fd = Arc::new(Mutex::new(Some(stream.inner().as_raw_fd())));
         let handle = SocketHandle { fd, shut_down: Arc::default() };
         let read_timeout = ReadTimeout::new(stream.waker());
-        Socket { stream, handle, read_timeout }
+        Socket { stream, handle, read_timeout, turn: Turn::new(TurnClass::Connection) }
     }
 
     /// Opens a connection within the given time.
@@ -141,7 +143,8 @@
         self.handle.clone()
     }
 
-    /// Reads available bytes, waiting until `deadline` for the first one.
+    /// Reads available bytes, waiting until `deadline` for the first one. A peer that always has bytes ready
+    /// gets its turns among the other sockets, and its deadline is checked after each of them.
     ///
     /// # Errors
     /// As the read fails, or `TimedOut`.
@@ -149,27 +152,47 @@
         if let Some(deadline) = deadline {
             self.read_timeout.arm(deadline);
         }
-        let done = loop {
+        let done = self.read_in_turn(buf, deadline);
+        self.read_timeout.disarm();
+        done
+    }
+
+    /// [`Socket::read`] while its timeout is armed.
+    fn read_in_turn(&mut self, buf: &mut [u8], deadline: Option<Instant>) -> io::Result<usize> {
+        let is_late = || deadline.is_some_and(|deadline| Instant::now() >= deadline);
+        if self.turn.wait_if_used_up() && is_late() {
+            return Err(timed_out());
+        }
+        loop {
             if self.handle.shut_down.load(Ordering::Acquire) {
-                break Ok(0);
+                return Ok(0);
             }
             match self.stream.inner().read(buf) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     // Bytes that arrived before the deadline would have been read above.
-                    if deadline.is_some_and(|deadline| Instant::now() >= deadline) {
-                        break Err(timed_out());
+                    if is_late() {
+                        return Err(timed_out());
                     }
                     self.stream.wait_io();
+                    self.turn.record_wait();
+                }
+                done => {
+                    self.turn.record_operation();
+                    return done;
                 }
-                done => break done,
             }
-        };
-        self.read_timeout.disarm();
-        done
+        }
+    }
+
+    /// Waits for this connection's next turn if the current one is used up. For loops that answer messages
+    /// which have been read already; reads do this by themselves.
+    pub fn wait_for_turn(&self) {
+        self.turn.wait_if_used_up();
     }
 
-    /// Writes all bytes before `deadline`. An error carries the number of bytes that were handed to the
+    /// Writes all bytes before `deadline`. Never waits for a turn, since a caller may have checked right before
+    /// that it may send, but counts towards the turn of the next read. An error carries the number of bytes that were handed to the
     /// kernel.
     ///
     /// # Errors
@@ -181,6 +204,7 @@
                 Ok(0) => return Err((done, ErrorKind::WriteZero.into())),
                 Ok(n) => {
                     done += n;
+                    self.turn.record_operation();
                     wait = Duration::from_micros(200);
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -191,6 +215,7 @@
                         return Err((done, timed_out()));
                     }
                     sleep(wait);
+                    self.turn.record_wait();
                     wait = (wait * 2).min(Duration::from_millis(10));
                 }
                 Err(e) => return Err((done, e)),
