--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -26,6 +26,8 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
 const TOO_SLOW: ParseError = ParseError { status: 408, reason: "the message took too long to arrive" };
+const TOO_MANY_EMPTY_LINES: ParseError =
+    ParseError { status: 431, reason: "more than 16 KiB of empty lines before a request" };
 const TOO_LONG: ParseError = ParseError {
     status: 413,
     reason: "the body is longer than this marshal passes on (bounds.longest_body_kib)",
@@ -177,10 +179,11 @@
         };
         let mut deadline = limit(Instant::now() + limits.client_idle_timeout);
         let mut first_byte_at = None;
+        let mut empty_line_bytes = 0;
         loop {
-            // Empty lines before a request line are ignored (RFC 9112, section 2.2).
-            while self.buf.starts_with(b"\r\n") {
-                self.buf.drain(..2);
+            empty_line_bytes += self.drop_empty_lines();
+            if empty_line_bytes > http::MAX_HEAD_BYTES {
+                return Err(ReadError::Refused(TOO_MANY_EMPTY_LINES));
             }
             if !self.buf.is_empty() && first_byte_at.is_none() {
                 if !self.client.begin_message() {
@@ -207,6 +210,13 @@
         }
     }
 
+    /// Drops the empty lines before a request line (RFC 9112, section 2.2). Returns their length in bytes.
+    fn drop_empty_lines(&mut self) -> usize {
+        let count = self.buf.chunks_exact(2).take_while(|line| *line == b"\r\n").count();
+        self.buf.drain(..2 * count);
+        2 * count
+    }
+
     /// Reads the body up to the buffered length. The decoder continues with whatever is left of it.
     fn read_body_prefix(
         &mut self, request: &Request, first_byte_at: Instant,
--- a/crates/edge/tests/hard/clients.rs
+++ b/crates/edge/tests/hard/clients.rs
@@ -212,3 +212,18 @@
     std::thread::sleep(ms(150));
     assert_eq!(scene.rpc("calendar-read", "", "x").status, 200);
 }
+
+/// Guards against empty lines that count towards no limit: a head that never ends.
+#[test]
+fn empty_lines_before_a_request_are_ignored_up_to_the_length_of_a_head() {
+    let fine = healthy_node("fine");
+    let scene = Scene::new(&[fine.addr]);
+    let mut stream = scene.connect();
+    for count in [1, 2000, 8192] {
+        write_text(&mut stream, &format!("{}{}", "\r\n".repeat(count), message("calendar-read", "", "x")));
+        assert_eq!(answer(&mut stream).unwrap().body, "fine", "after {count} empty lines");
+    }
+    write_text(&mut stream, &"\r\n".repeat(10_000));
+    assert_eq!(answer(&mut stream).unwrap().status, 431);
+    assert!(closes_within(&mut stream, ms(2000)));
+}
