--- a/crates/edge/src/clients/caller.rs
+++ b/crates/edge/src/clients/caller.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use ivydrift_marshal::{Command, Id, Input};
+use ivydrift_policy::admission::MemoryUse;
 use ivydrift_wire::body_framing::{BodyDecoder, Part};
 use ivydrift_wire::http::ParseError;
 
-use super::{TOO_LONG, TOO_SLOW, WRITE_TIMEOUT};
+use super::{Client, TOO_LONG, TOO_SLOW, WRITE_TIMEOUT};
 use crate::exchange::{Answer, BodyRead, Caller};
 use crate::Edge;
 use ivydrift_sockets::Socket;
@@ -38,6 +39,9 @@
 /// The client's side of an RPC while a pick is in progress.
 pub struct ConnectionCaller<'a> {
     pub edge: &'a Arc<Edge>,
+    pub client: &'a Client,
+    /// Memory held for this RPC besides the answer that is being read, in bytes.
+    pub held_bytes: usize,
     pub socket: &'a mut Socket,
     pub buf: &'a mut Vec<u8>,
     pub remaining: &'a mut RemainingBody,
@@ -102,6 +106,10 @@
         read
     }
 
+    fn hold_answer(&mut self, bytes: usize) -> bool {
+        self.edge.hold_memory(self.client, self.held_bytes + bytes, MemoryUse::Rpc)
+    }
+
     fn begin_answer(&mut self, answer: &Answer) -> bool {
         for command in self.edge.dispatch(Input::AnswerBegan { id: self.id, pick: self.pick }, self.id) {
             if let Command::Pass { picks, build, .. } = command {
--- a/crates/edge/src/clients/client.rs
+++ b/crates/edge/src/clients/client.rs
@@ -1,20 +1,17 @@
 //! State of one client connection that other coroutines share.
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use ivydrift_marshal::{Command, Id};
+use ivydrift_policy::admission::ConnectionPhase;
 use may::sync::Semphore;
 
 use crate::exchange::PickHandle;
 use ivydrift_sockets::SocketHandle;
 
-/// When connections run out, those that have sent no complete message for this long after being accepted are
-/// closed first.
-const SILENT_EVICTABLE_AFTER: Duration = Duration::from_millis(250);
-
 /// During shutdown, a connection that was only just accepted gets this long to deliver its first bytes: it
 /// may have waited in the listen backlog, and its client may already have written to it.
 const NEW_CLIENT_GRACE: Duration = Duration::from_millis(100);
@@ -29,8 +26,13 @@
     pub(super) silent: AtomicBool,
     /// When the connection was accepted.
     pub accepted_at: Instant,
-    /// When the connection last became idle, in milliseconds after `accepted_at`.
-    idle_since_ms: AtomicU64,
+    /// When the connection last became idle, or began a message after that, in milliseconds after
+    /// `accepted_at`.
+    phase_since_ms: AtomicU64,
+    /// Memory held for the connection and its messages, in bytes.
+    pub(super) held_bytes: AtomicUsize,
+    /// The connection waits for memory. What it has read may be a complete message, so it is not closed.
+    pub(super) awaits_memory: AtomicBool,
     mailbox: Mutex<Mailbox>,
     /// Posted for each entry of the mailbox.
     pub(super) wake: Semphore,
@@ -44,7 +46,9 @@
 pub enum ConnectionState {
     /// No complete message has arrived yet.
     New,
-    /// A message is being read or an RPC is in progress.
+    /// A message has begun on a connection that has completed one before.
+    Reading,
+    /// An RPC is in progress.
     Busy,
     /// Idle: the last answer is complete and no byte of another message has been read.
     Idle,
@@ -96,7 +100,9 @@
             state: AtomicU8::new(ConnectionState::New as u8),
             silent: AtomicBool::new(true),
             accepted_at: Instant::now(),
-            idle_since_ms: AtomicU64::new(0),
+            phase_since_ms: AtomicU64::new(0),
+            held_bytes: AtomicUsize::new(0),
+            awaits_memory: AtomicBool::new(false),
             mailbox: Mutex::default(),
             wake: Semphore::new(0),
             current: Mutex::default(),
@@ -106,11 +112,16 @@
 
     /// Marks the connection as idle.
     pub(crate) fn mark_idle(&self) {
-        self.idle_since_ms.store(self.accepted_at.elapsed().as_millis() as u64, Ordering::Relaxed);
+        self.restart_phase();
         self.silent.store(true, Ordering::Release);
         self.transition(ConnectionState::Busy, ConnectionState::Idle);
     }
 
+    /// Records that the connection has been in its phase since now.
+    fn restart_phase(&self) {
+        self.phase_since_ms.store(self.accepted_at.elapsed().as_millis() as u64, Ordering::Relaxed);
+    }
+
     /// Changes the state. Returns false if the connection was not in state `from`.
     pub(crate) fn transition(&self, from: ConnectionState, to: ConnectionState) -> bool {
         self.state.compare_exchange(from as u8, to as u8, Ordering::AcqRel, Ordering::Acquire).is_ok()
@@ -124,30 +135,49 @@
     /// Records that the first bytes of a message have arrived. Returns false if the connection was evicted.
     pub(crate) fn begin_message(&self) -> bool {
         self.silent.store(false, Ordering::Release);
-        self.transition(ConnectionState::Idle, ConnectionState::Busy)
-            || !self.in_state(ConnectionState::Evicted)
+        let begins = self.transition(ConnectionState::Idle, ConnectionState::Reading);
+        if begins {
+            self.restart_phase();
+        }
+        begins || !self.in_state(ConnectionState::Evicted)
     }
 
     /// Records that a complete message has arrived. Returns false if the connection was evicted, in which
     /// case the message must not be processed.
     pub(crate) fn complete_message(&self) -> bool {
-        self.transition(ConnectionState::New, ConnectionState::Busy) || self.in_state(ConnectionState::Busy)
-    }
-
-    /// Rank for closing this connection to free a slot, or `None` if it must stay. Connections that have
-    /// their last answer go first, then those that never sent a message, then those idle for longest.
-    pub fn eviction_rank(&self) -> Option<(u8, Duration)> {
-        let idle_for = self
-            .accepted_at
-            .elapsed()
-            .saturating_sub(Duration::from_millis(self.idle_since_ms.load(Ordering::Relaxed)));
-        let new = self.in_state(ConnectionState::New) && idle_for >= SILENT_EVICTABLE_AFTER;
-        let candidates = [
-            (self.in_state(ConnectionState::Closing), 2),
-            (new, 1),
-            (self.in_state(ConnectionState::Idle), 0),
+        let incomplete = [ConnectionState::New, ConnectionState::Reading];
+        incomplete.into_iter().any(|from| self.transition(from, ConnectionState::Busy))
+    }
+
+    /// The phase that decides whether this connection may be closed to free a slot or memory, and for how long
+    /// it has lasted. `None` if the connection is closed already.
+    pub fn phase(&self) -> Option<(ConnectionPhase, Duration)> {
+        let phase = [
+            (ConnectionState::Closing, ConnectionPhase::Closing),
+            (ConnectionState::Idle, ConnectionPhase::Idle),
+            (ConnectionState::Reading, ConnectionPhase::Reading),
+            (ConnectionState::New, ConnectionPhase::New),
+            (ConnectionState::Busy, ConnectionPhase::Serving),
         ];
-        candidates.iter().find(|(eligible, _)| *eligible).map(|(_, rank)| (*rank, idle_for))
+        let (_, phase) = phase.into_iter().find(|(state, _)| self.in_state(*state))?;
+        let has_begun = phase == ConnectionPhase::New && !self.silent.load(Ordering::Acquire);
+        let phase = if has_begun { ConnectionPhase::FirstMessage } else { phase };
+        let since = Duration::from_millis(self.phase_since_ms.load(Ordering::Relaxed));
+        let waited = self.accepted_at.elapsed().saturating_sub(since);
+        Some(match self.awaits_memory.load(Ordering::Acquire) {
+            true => (ConnectionPhase::Serving, waited),
+            false => (phase, waited),
+        })
+    }
+
+    /// Closes the connection if its message is incomplete: nothing of it waits to be read.
+    pub fn evict_incomplete(&self) -> bool {
+        let evicted = self.socket_handle.is_idle()
+            && self.transition(ConnectionState::Reading, ConnectionState::Evicted);
+        if evicted {
+            self.socket_handle.shutdown();
+        }
+        evicted
     }
 
     /// Closes the connection if no message is in progress or has arrived. A client that sends a message at
--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -3,17 +3,17 @@
 
 mod caller;
 mod client;
+mod memory;
+mod reading;
 mod serve;
 #[cfg(test)]
 mod tests;
 
-use std::io::ErrorKind;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ivydrift_wire::body_framing::{BodyDecoder, Part};
-use ivydrift_wire::http::{self, Framing, HeadWriter, ParseError, Request};
+use ivydrift_wire::http::{HeadWriter, ParseError};
 
 use crate::Edge;
 use caller::{ReadError, RemainingBody};
@@ -21,6 +21,8 @@
 use client::{ConnectionState, Mail};
 use ivydrift_sockets::coroutine::{sleep, spawn};
 use ivydrift_sockets::{out_of_descriptors, Listener, Socket};
+pub use memory::PeerMemory;
+pub(crate) use reading::grown_capacity;
 
 /// A client that accepts no byte of its answer for this long is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -28,6 +30,8 @@
 const TOO_SLOW: ParseError = ParseError { status: 408, reason: "the message took too long to arrive" };
 const TOO_MANY_EMPTY_LINES: ParseError =
     ParseError { status: 431, reason: "more than 16 KiB of empty lines before a request" };
+const NO_MEMORY: ParseError =
+    ParseError { status: 503, reason: "no memory is left for this message: try again later" };
 const TOO_LONG: ParseError = ParseError {
     status: 413,
     reason: "the body is longer than this marshal passes on (bounds.longest_body_kib)",
@@ -66,12 +70,20 @@
 
 /// Serves the client registered under `client_id` until either side closes the connection.
 pub fn serve(edge: &Arc<Edge>, client: Arc<Client>, client_id: u64, socket: Socket) {
-    let mut connection = Connection { edge, client: &client, socket, buf: Vec::new() };
-    if connection.run() {
+    let mut connection =
+        Connection { edge, client: &client, socket, buf: Vec::new(), message_bytes: 0, is_usual: false };
+    let may_be_in_transit = connection.run();
+    if connection.is_usual {
+        edge.usual_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+    if may_be_in_transit {
         client.state.store(ConnectionState::Closing as u8, Ordering::Release);
+        connection.buf = Vec::new();
+        connection.release_message();
         connection.socket.close_with_drain(Duration::from_millis(500));
     }
     connection.socket.shutdown();
+    edge.release_memory(&client);
     edge.unregister(client_id);
 }
 
@@ -81,6 +93,10 @@
     client: &'a Arc<Client>,
     socket: Socket,
     buf: Vec<u8>,
+    /// Memory held for the current message besides `buf`, in bytes.
+    message_bytes: usize,
+    /// The connection has completed a message.
+    is_usual: bool,
 }
 
 /// What happens to a client connection after an RPC.
@@ -97,6 +113,7 @@
     /// Serves RPCs until the connection ends. Returns true if the last answer may still be in transit.
     fn run(&mut self) -> bool {
         loop {
+            self.release_message();
             self.client.mark_idle();
             self.socket.wait_for_turn();
             let (request, first_byte_at) = match self.read_head() {
@@ -112,6 +129,9 @@
             if !self.client.complete_message() {
                 return false;
             }
+            if !std::mem::replace(&mut self.is_usual, true) {
+                self.edge.usual_connections.fetch_add(1, Ordering::Relaxed);
+            }
             let keep = request.keep_alive && !self.edge.stopping();
             if matches!(&*request.http_method, "CONNECT" | "TRACE") {
                 return self.refuse(ParseError { status: 405, reason: "this method is not for RPCs" });
@@ -155,109 +175,6 @@
         }
     }
 
-    /// Reads more bytes before `deadline`. Returns false at the end of the stream.
-    fn read_more(&mut self, deadline: Instant) -> Result<bool, ErrorKind> {
-        let mut chunk = [0; 4096];
-        match self.socket.read(&mut chunk, Some(deadline)) {
-            Ok(0) => Ok(false),
-            Ok(n) => {
-                self.buf.extend_from_slice(&chunk[..n]);
-                Ok(true)
-            }
-            Err(e) => Err(e.kind()),
-        }
-    }
-
-    /// Reads the next request head and the time its first byte arrived.
-    fn read_head(&mut self) -> Result<(Request, Instant), ReadError> {
-        let limits = self.edge.limits();
-        let first_message_by =
-            limits.first_message_timeout.filter(|_| self.client.in_state(ConnectionState::New));
-        let first_message_by = first_message_by.map(|within| self.client.accepted_at + within);
-        let limit = |deadline: Instant| {
-            first_message_by.map_or(deadline, |first_message_by| deadline.min(first_message_by))
-        };
-        let mut deadline = limit(Instant::now() + limits.client_idle_timeout);
-        let mut first_byte_at = None;
-        let mut empty_line_bytes = 0;
-        loop {
-            empty_line_bytes += self.drop_empty_lines();
-            if empty_line_bytes > http::MAX_HEAD_BYTES {
-                return Err(ReadError::Refused(TOO_MANY_EMPTY_LINES));
-            }
-            if !self.buf.is_empty() && first_byte_at.is_none() {
-                if !self.client.begin_message() {
-                    return Err(ReadError::Closed);
-                }
-                first_byte_at = Some(Instant::now());
-                deadline = limit(Instant::now() + limits.message_timeout);
-            }
-            match http::parse_request(&self.buf) {
-                Ok(Some((request, used))) => {
-                    self.buf.drain(..used);
-                    return Ok((request, first_byte_at.unwrap_or_else(Instant::now)));
-                }
-                Ok(None) => {}
-                Err(error) => return Err(ReadError::Refused(error)),
-            }
-            match self.read_more(deadline) {
-                Ok(true) => {}
-                Err(ErrorKind::TimedOut) if first_byte_at.is_some() => {
-                    return Err(ReadError::Refused(TOO_SLOW))
-                }
-                _ => return Err(ReadError::Closed),
-            }
-        }
-    }
-
-    /// Drops the empty lines before a request line (RFC 9112, section 2.2). Returns their length in bytes.
-    fn drop_empty_lines(&mut self) -> usize {
-        let count = self.buf.chunks_exact(2).take_while(|line| *line == b"\r\n").count();
-        self.buf.drain(..2 * count);
-        2 * count
-    }
-
-    /// Reads the body up to the buffered length. The decoder continues with whatever is left of it.
-    fn read_body_prefix(
-        &mut self, request: &Request, first_byte_at: Instant,
-    ) -> Result<(Vec<u8>, BodyDecoder), ReadError> {
-        let limits = self.edge.limits();
-        if matches!(request.framing, Framing::Length(n) if n > limits.max_body_bytes) {
-            return Err(ReadError::Refused(TOO_LONG));
-        }
-        let (mut decoder, mut body) = (BodyDecoder::new(request.framing), Vec::new());
-        if request.expects_continue && !decoder.is_complete() && self.buf.is_empty() {
-            let deadline = Instant::now() + WRITE_TIMEOUT;
-            if self.socket.write(b"HTTP/1.1 100 Continue\r\n\r\n", deadline).is_err() {
-                return Err(ReadError::Closed);
-            }
-        }
-        let deadline = first_byte_at + limits.message_timeout;
-        loop {
-            match decoder.step(&self.buf) {
-                Ok(Part::Data(n)) => {
-                    body.extend(self.buf.drain(..n));
-                    if body.len() as u64 > limits.max_body_bytes {
-                        return Err(ReadError::Refused(TOO_LONG));
-                    }
-                    if body.len() > limits.buffered_body_bytes && !decoder.is_complete() {
-                        return Ok((body, decoder));
-                    }
-                }
-                Ok(Part::Framing(n)) => {
-                    self.buf.drain(..n);
-                }
-                Ok(Part::End) => return Ok((body, decoder)),
-                Ok(Part::Incomplete) => match self.read_more(deadline) {
-                    Ok(true) => {}
-                    Err(ErrorKind::TimedOut) => return Err(ReadError::Refused(TOO_SLOW)),
-                    _ => return Err(ReadError::Closed),
-                },
-                Err(error) => return Err(ReadError::Refused(error)),
-            }
-        }
-    }
-
     /// Rejects a message and closes the connection, because the message boundary cannot be trusted.
     fn refuse(&self, error: ParseError) -> bool {
         let head = HeadWriter::response(error.status)
--- a/crates/edge/src/clients/serve.rs
+++ b/crates/edge/src/clients/serve.rs
@@ -71,9 +71,13 @@
                         dialect,
                         admission: &admission,
                     };
+                    let held_answer = buffered.as_ref().map_or(0, |(_, answer)| answer.held_bytes());
+                    let held_bytes = self.buffer_bytes() + held_answer;
                     let (socket, buf, remaining) = (&mut self.socket, &mut self.buf, &mut remaining);
                     let mut caller = ConnectionCaller {
                         edge,
+                        client,
+                        held_bytes,
                         socket,
                         buf,
                         remaining,
@@ -112,11 +116,10 @@
                 }
                 Command::Pass { pick, picks, build, .. } => {
                     let Some((_, answer)) = buffered.take().filter(|h| h.0 == pick) else { break false };
-                    let mut bytes =
-                        answer.head_bytes(&edge.dialect, picks, build, !keep_open, edge.spread_ms());
-                    bytes.extend_from_slice(&answer.body);
+                    let head = answer.head_bytes(&edge.dialect, picks, build, !keep_open, edge.spread_ms());
                     answered = true;
-                    break self.socket.write(&bytes, Instant::now() + WRITE_TIMEOUT).is_ok();
+                    let deadline = Instant::now() + WRITE_TIMEOUT;
+                    break self.socket.write_message(head, &answer.body, deadline).is_ok();
                 }
                 Command::PushBack { picks, retry_after, why, .. } => {
                     let head = edge.dialect.push_back_head(picks, retry_after, why);
--- a/crates/edge/src/clients/tests.rs
+++ b/crates/edge/src/clients/tests.rs
@@ -1,9 +1,15 @@
 use std::time::Duration;
 
 use super::client::Client;
+use ivydrift_policy::admission::{closing_rank, ClosingRank, Need};
 use ivydrift_sockets::coroutine::spawn;
 use ivydrift_sockets::Socket;
 
+/// Rank of a connection when it is closed to free a slot.
+fn rank(client: &Client) -> Option<ClosingRank> {
+    client.phase().and_then(|(phase, waited)| closing_rank(Need::Slot { crowded: true }, phase, waited))
+}
+
 #[test]
 fn an_evicted_connection_processes_no_message_and_a_busy_one_is_not_evicted() {
     ivydrift_sockets::coroutine::configure_runtime(2);
@@ -14,10 +20,10 @@
         let sockets = [0; 3].map(|_| Socket::connect(to, Duration::from_secs(1)).unwrap());
         let [new, busy, idle] = sockets.each_ref().map(|socket| Client::new(socket.handle()));
         let _ = tx.send(("new", new.evict() && !new.begin_message() && !new.complete_message()));
-        let _ = tx.send(("busy", busy.complete_message() && !busy.evict() && busy.eviction_rank().is_none()));
+        let _ = tx.send(("busy", busy.complete_message() && !busy.evict() && rank(&busy).is_none()));
         idle.complete_message();
         idle.mark_idle();
-        let _ = tx.send(("idle", idle.eviction_rank().is_some() && idle.evict() && !idle.begin_message()));
+        let _ = tx.send(("idle", rank(&idle).is_some() && idle.evict() && !idle.begin_message()));
         let _ = tx.send(("idle, asked", !idle.complete_message()));
     });
     for case in ["new", "busy", "idle", "idle, asked"] {
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One pick on its socket: sends the RPC, reads the answer, and reports what was observed.
 
+use std::borrow::Cow;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -8,10 +9,14 @@
 use ivydrift_wire::body_framing::{BodyDecoder, Part};
 use ivydrift_wire::http::{self, Framing, Response};
 
+use crate::clients::grown_capacity;
 use crate::dialect::Dialect;
 use crate::pool::Pool;
 use ivydrift_sockets::{out_of_descriptors, Socket, SocketHandle};
 
+/// Bytes of one read from a node.
+const READ_BYTES: usize = 8192;
+
 /// An answer up to this many bytes is buffered until complete, so that another pick can still replace one
 /// that breaks off.
 pub const MAX_BUFFERED_ANSWER: usize = 16 * 1024;
@@ -37,8 +42,8 @@
 }
 
 impl OutgoingRequest {
-    /// The request for this node as far as it is buffered.
-    fn bytes(&self, dialect: &Dialect, node: SocketAddr, time_left: Duration) -> Vec<u8> {
+    /// The head of the request for this node.
+    fn head_bytes(&self, dialect: &Dialect, node: SocketAddr, time_left: Duration) -> Vec<u8> {
         let mut head =
             dialect.request_head(&self.http_method, &self.target, &self.fields, &self.via, node, time_left);
         head = match self.rest_framing {
@@ -47,13 +52,15 @@
             None if self.body.is_empty() && matches!(&*self.http_method, "GET" | "HEAD") => head,
             None => head.field("content-length", self.body.len().to_string()),
         };
-        let mut bytes = head.finish();
-        if self.is_chunked() && !self.body.is_empty() {
-            bytes.extend_from_slice(&encode_chunk(&self.body));
-        } else {
-            bytes.extend_from_slice(&self.body);
+        head.finish()
+    }
+
+    /// The body in its framing, as far as it is buffered.
+    fn framed_body(&self) -> Cow<'_, [u8]> {
+        match self.is_chunked() && !self.body.is_empty() {
+            true => Cow::Owned(encode_chunk(&self.body)),
+            false => Cow::Borrowed(&self.body),
         }
-        bytes
     }
 
     fn is_chunked(&self) -> bool {
@@ -64,12 +71,22 @@
 /// The head and the buffered part of an answer.
 pub struct Answer {
     pub head: Response,
+    /// Length of the head as it was read, in bytes.
+    pub head_length: usize,
     pub body: Vec<u8>,
     /// The body is longer than the buffer; the rest is streamed.
     pub streamed: bool,
 }
 
+/// Copies of an answer's head: its fields, and the head for the client.
+const HEAD_COPIES: usize = 2;
+
 impl Answer {
+    /// Memory that the answer takes, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        HEAD_COPIES * self.head_length + self.body.capacity()
+    }
+
     /// The head of the answer for the client, with the answer's kind and number of picks.
     pub fn head_bytes(
         &self, dialect: &Dialect, picks: usize, build: u32, close: bool, spread_ms: Option<u64>,
@@ -108,6 +125,8 @@
 pub trait Caller {
     /// Waits for more of the body. From the first call on, the body is no longer complete for any other pick.
     fn read_body(&mut self, wait: Duration) -> BodyRead;
+    /// Accounts for `bytes` of memory for the answer that is being read. Returns false if there is no room.
+    fn hold_answer(&mut self, bytes: usize) -> bool;
     /// Sends the head and the first part of the answer. Returns false if the client no longer wants them.
     fn begin_answer(&mut self, answer: &Answer) -> bool;
     /// Sends more of a streamed answer. Returns false if the client no longer accepts it.
@@ -175,11 +194,13 @@
         if left.is_zero() {
             return (Observation::NotSent, None);
         }
-        let bytes = rpc.bytes(self.dialect, self.node, left);
+        let head = rpc.head_bytes(self.dialect, self.node, left);
+        let body = rpc.framed_body();
         if !self.admission.admit() {
             return (Observation::NotAttempted, None);
         }
-        let written = socket.write(&bytes, deadline);
+        let written = socket.write_message(head, &body, deadline);
+        drop(body);
         self.admission.sent(write_began);
         if let Err((bytes_written, e)) = written {
             // The kernel accepted no byte, so no node can have seen any of the RPC.
@@ -202,11 +223,13 @@
         let mut reader = Reader {
             socket: &mut socket,
             dialect: self.dialect,
+            caller,
             buf: Vec::new(),
+            answer_bytes: 0,
             deadline,
             streaming: false,
         };
-        let (observation, answer) = reader.answer(&rpc.http_method, caller);
+        let (observation, answer) = reader.answer(&rpc.http_method);
         let complete = matches!(observation, Observation::Answer { .. });
         if handle.is_cancelled() && !complete {
             return (Observation::Cancelled, None);
@@ -264,7 +287,10 @@
 struct Reader<'a> {
     socket: &'a mut Socket,
     dialect: &'a Dialect,
+    caller: &'a mut dyn Caller,
     buf: Vec<u8>,
+    /// Memory held for what was read of the answer besides `buf`, in bytes.
+    answer_bytes: usize,
     deadline: Instant,
     /// The answer is being streamed to the client.
     streaming: bool,
@@ -280,7 +306,7 @@
 impl Reader<'_> {
     /// Reads more bytes. Returns false at the end of the stream.
     fn read_more(&mut self) -> Result<bool, Incomplete> {
-        let mut chunk = [0; 8192];
+        let mut chunk = [0; READ_BYTES];
         if self.streaming {
             // The answer now belongs to the client: neither the pick's timeout nor the RPC's deadline applies
             // any longer.
@@ -289,6 +315,7 @@
         match self.socket.read(&mut chunk, Some(self.deadline)) {
             Ok(0) => Ok(false),
             Ok(n) => {
+                self.reserve_buffer(n)?;
                 self.buf.extend_from_slice(&chunk[..n]);
                 Ok(true)
             }
@@ -299,15 +326,47 @@
         }
     }
 
-    /// Reads the final response head; `to_head`: the request was a HEAD.
-    fn head(&mut self, to_head: bool) -> Result<Response, Incomplete> {
+    /// Makes room for `more` bytes in the buffer.
+    fn reserve_buffer(&mut self, more: usize) -> Result<(), Incomplete> {
+        let (length, capacity) = (self.buf.len(), self.buf.capacity());
+        if length + more > capacity {
+            let capacity = grown_capacity(capacity, length + more, http::MAX_HEAD_BYTES);
+            self.hold(self.answer_bytes, capacity)?;
+            self.buf.reserve_exact(capacity - length);
+        }
+        Ok(())
+    }
+
+    /// Makes room for `more` bytes in the body of an answer that is buffered up to `longest` bytes.
+    fn reserve_body(&mut self, answer: &mut Answer, more: usize, longest: usize) -> Result<(), Incomplete> {
+        let (length, capacity) = (answer.body.len(), answer.body.capacity());
+        if length + more > capacity {
+            let grown = grown_capacity(capacity, length + more, longest);
+            self.hold(answer.held_bytes() - capacity + grown, self.buf.capacity())?;
+            answer.body.reserve_exact(grown - length);
+        }
+        Ok(())
+    }
+
+    /// Accounts for what is held of the answer besides the read buffer, and for the buffer.
+    fn hold(&mut self, answer_bytes: usize, buffer_capacity: usize) -> Result<(), Incomplete> {
+        self.answer_bytes = answer_bytes;
+        match self.caller.hold_answer(answer_bytes + buffer_capacity) {
+            true => Ok(()),
+            // The answer stays unread, so the RPC may have run.
+            false => Err(Incomplete::Observation(Observation::Broken)),
+        }
+    }
+
+    /// Reads the final response head and its length; `to_head`: the request was a HEAD.
+    fn head(&mut self, to_head: bool) -> Result<(Response, usize), Incomplete> {
         // Interim responses (1xx) are skipped. The limit stops a node that sends nothing else.
         for _ in 0..8 {
-            let head = loop {
+            let (head, length) = loop {
                 match http::parse_response(&self.buf, to_head) {
                     Ok(Some((head, used))) => {
                         self.buf.drain(..used);
-                        break head;
+                        break (head, used);
                     }
                     Ok(None) if self.read_more()? => {}
                     Ok(None) => return Err(Incomplete::Observation(Observation::Broken)),
@@ -318,16 +377,16 @@
                 break;
             }
             if head.status >= 200 {
-                return Ok(head);
+                return Ok((head, length));
             }
         }
         Err(Incomplete::Observation(Observation::Malformed))
     }
 
     /// Reads the whole answer. A long successful one is streamed to the client.
-    fn answer(&mut self, http_method: &str, caller: &mut dyn Caller) -> (Observation, Option<Answer>) {
-        let head = match self.head(http_method == "HEAD") {
-            Ok(head) => head,
+    fn answer(&mut self, http_method: &str) -> (Observation, Option<Answer>) {
+        let (head, head_length) = match self.head(http_method == "HEAD") {
+            Ok(read) => read,
             Err(Incomplete::Observation(observation)) => return (observation, None),
             Err(Incomplete::Unwanted) => return (Observation::Cancelled, None),
         };
@@ -336,8 +395,8 @@
         }
         let (status, never_ran, load) = self.dialect.interpret_response(&head);
         let observation = Observation::Answer { status, never_ran, load };
-        let mut answer = Answer { head, body: Vec::new(), streamed: false };
-        match self.body(&mut answer, observation.outcome(), caller) {
+        let mut answer = Answer { head, head_length, body: Vec::new(), streamed: false };
+        match self.body(&mut answer, observation.outcome()) {
             Ok(()) => (observation, Some(answer)),
             Err(Incomplete::Observation(observation)) => (observation, None),
             Err(Incomplete::Unwanted) => (Observation::Cancelled, None),
@@ -345,20 +404,25 @@
     }
 
     /// Reads the body into `answer`, or streams it once it exceeds the buffer.
-    fn body(
-        &mut self, answer: &mut Answer, outcome: ivydrift_marshal::Outcome, caller: &mut dyn Caller,
-    ) -> Result<(), Incomplete> {
+    fn body(&mut self, answer: &mut Answer, outcome: ivydrift_marshal::Outcome) -> Result<(), Incomplete> {
+        self.hold(answer.held_bytes(), self.buf.capacity())?;
+        let buffered = self.dialect.max_answer_bytes().unwrap_or(MAX_BUFFERED_ANSWER) + READ_BYTES;
+        let longest = match answer.head.framing {
+            Framing::Length(n) => n.min(buffered as u64) as usize,
+            _ => buffered,
+        };
         let mut decoder = BodyDecoder::new(answer.head.framing);
         let chunked = !matches!(answer.head.framing, Framing::Length(_));
         loop {
             match decoder.step(&self.buf) {
                 Ok(Part::Data(n)) => {
-                    let data: Vec<u8> = self.buf.drain(..n).collect();
                     if answer.streamed {
-                        stream_part(caller, &data, chunked)?;
+                        stream_part(self.caller, &self.buf[..n], chunked)?;
+                        self.buf.drain(..n);
                         continue;
                     }
-                    answer.body.extend_from_slice(&data);
+                    self.reserve_body(answer, n, longest)?;
+                    answer.body.extend(self.buf.drain(..n));
                     if let Some(max_bytes) = self.dialect.max_answer_bytes() {
                         if answer.body.len() > max_bytes {
                             return Err(Incomplete::Observation(Observation::Malformed));
@@ -371,10 +435,10 @@
                         }
                         answer.streamed = true;
                         self.streaming = true;
-                        if !caller.begin_answer(answer) {
+                        if !self.caller.begin_answer(answer) {
                             return Err(Incomplete::Unwanted);
                         }
-                        stream_part(caller, &answer.body, chunked)?;
+                        stream_part(self.caller, &answer.body, chunked)?;
                         answer.body.clear();
                     }
                 }
@@ -393,7 +457,7 @@
                 Err(_) => return Err(Incomplete::Observation(Observation::Malformed)),
             }
         }
-        if answer.streamed && chunked && !caller.send_part(b"0\r\n\r\n") {
+        if answer.streamed && chunked && !self.caller.send_part(b"0\r\n\r\n") {
             return Err(Incomplete::Unwanted);
         }
         Ok(())
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,12 +32,13 @@
 use ivydrift_marshal::{
     Command, Counts, Id, Input, InstanceId, Observation, Output, Repeat, Services, PRIMARY,
 };
+use ivydrift_policy::admission::{closing_rank, Need};
 use ivydrift_sockets::{Listener, Turn, TurnClass, Waker};
 use ivydrift_terms::{Addresses, Config, Limits, Names};
 use ivydrift_wire::peer;
 use may::net::UdpSocket;
 
-use clients::Client;
+use clients::{Client, PeerMemory};
 use dialect::Dialect;
 pub use guard::{Violations, WithheldCounts};
 use ivydrift_sockets::coroutine::{self, restart_on_panic, sleep, spawn};
@@ -80,6 +81,9 @@
     /// The listener is open, so connections may wait in its backlog.
     accepting: AtomicBool,
     pool: Pool,
+    peer_memory: PeerMemory,
+    /// Client connections that have completed a message and do not have their last answer yet.
+    usual_connections: AtomicUsize,
     guard: guard::Guard,
     /// The settings that a config reload may change.
     settings: Mutex<Settings>,
@@ -197,7 +201,7 @@
         self.in_progress.lock().unwrap().insert(id, client.clone());
         let mut clients = self.clients.lock().unwrap();
         if self.over_limits(clients.len()) {
-            self.evict_client(&mut clients);
+            self.evict_client(&mut clients, self.need_of_slot());
         }
         drop(clients);
         self.dispatch(input, id)
@@ -282,9 +286,11 @@
     fn register(&self, client: &Arc<Client>) -> Option<u64> {
         let mut clients = self.clients.lock().unwrap();
         if clients.len() >= self.limits().close_after_answer_above {
-            self.evict_client(&mut clients);
+            self.evict_client(&mut clients, Need::SpareSlot);
         }
-        let has_room = !self.over_limits(clients.len() + 1) || self.evict_client(&mut clients);
+        let has_room =
+            !self.over_limits(clients.len() + 1) || self.evict_client(&mut clients, self.need_of_slot());
+        let has_room = has_room && self.hold_connection(&clients, client);
         has_room.then(|| {
             let client_id = self.next_client_id.fetch_add(1, Ordering::Relaxed);
             clients.insert(client_id, client.clone());
@@ -294,9 +300,15 @@
         })
     }
 
-    /// Whether there are so many clients that each connection should close after its answer.
+    /// Whether there are so many clients that each connection should close after its answer. Strangers don't
+    /// count: usual clients keep their connections however many of them come.
     fn is_crowded(&self) -> bool {
-        self.client_count.load(Ordering::Relaxed) >= self.limits().close_after_answer_above
+        self.usual_connections.load(Ordering::Relaxed) >= self.limits().close_after_answer_above
+    }
+
+    /// What a connection is closed for if no descriptor is left.
+    fn need_of_slot(&self) -> Need {
+        Need::Slot { crowded: self.is_crowded() }
     }
 
     /// Whether this many client connections, or the descriptors they need, exceed the limits. An RPC in
@@ -308,18 +320,20 @@
         clients > limits.max_clients || limits.max_descriptors.is_some_and(|most| wanted > most)
     }
 
-    /// Closes the least valuable client connection to free a slot. Returns false if each has a message in
-    /// progress.
-    fn evict_client(&self, clients: &mut HashMap<u64, Arc<Client>>) -> bool {
+    /// Closes the least valuable client connection to free a slot. Returns false if none may be closed for this
+    /// need.
+    fn evict_client(&self, clients: &mut HashMap<u64, Arc<Client>>, need: Need) -> bool {
+        let rank =
+            |client: &Client| client.phase().and_then(|(phase, waited)| closing_rank(need, phase, waited));
         let mut candidates: Vec<_> =
-            clients.iter().filter_map(|(client_id, c)| Some((c.eviction_rank()?, *client_id))).collect();
+            clients.iter().filter_map(|(client_id, client)| Some((rank(client)?, *client_id))).collect();
         candidates.sort_unstable();
         // A client may have sent a message since it was ranked; then the next one is closed instead.
         let evicted = candidates
             .iter()
             .rev()
             .map(|(_, client_id)| *client_id)
-            .find(|client_id| clients[client_id].evict());
+            .find(|client_id| clients[client_id].evict() || clients[client_id].evict_incomplete());
         evicted.and_then(|client_id| clients.remove(&client_id)).is_some()
     }
 
@@ -458,6 +472,8 @@
         open_connections: AtomicUsize::new(0),
         next_client_id: AtomicU64::new(0),
         accepting: AtomicBool::new(true),
+        peer_memory: PeerMemory::new(config.limits.peer_memory_bytes.unwrap_or(usize::MAX)),
+        usual_connections: AtomicUsize::new(0),
         pool: Pool::new(&config.limits, config.rollout.limits.idle_timeout),
         guard: guard::Guard::default(),
         settings: Mutex::new(Settings::of(&config)),
@@ -544,6 +560,7 @@
             let (idle_to_nodes, coroutines) = (edge.pool.len(), coroutine::live_count());
             let (services, bytes) = edge.service_stats();
             let (withheld, violations) = (edge.guard.withheld(), edge.guard.violations());
+            let peer_memory = edge.peer_memory.stats();
             tracing::info!(
                 ?counts,
                 ?withheld,
@@ -553,6 +570,7 @@
                 coroutines,
                 services,
                 bytes,
+                ?peer_memory,
                 "counts"
             );
         }
--- a/crates/edge/src/pool/tests.rs
+++ b/crates/edge/src/pool/tests.rs
@@ -24,7 +24,7 @@
 const SETTLED: Duration = Duration::from_millis(20);
 
 fn pool(max_per_node: usize, max_total: usize, idle_timeout: Duration) -> Pool {
-    let limits = Limits::by_descriptors(256, 1, Duration::ZERO);
+    let limits = Limits::by_process(256, None, 1, Duration::ZERO);
     Pool::new(
         &Limits {
             max_idle_per_node: max_per_node,
--- a/crates/edge/src/running.rs
+++ b/crates/edge/src/running.rs
@@ -93,6 +93,7 @@
         let (edge, new, limits) = (&self.edge, Settings::of(&config), config.rollout.limits);
         edge.core.lock().unwrap().reconfigure(config)?;
         edge.pool.set_limits(&new.limits, limits.idle_timeout);
+        edge.peer_memory.set_limit(new.limits.peer_memory_bytes.unwrap_or(usize::MAX));
         // An RPC accepted under the earlier config may need its longer deadline.
         let old = edge.settings();
         let longest_deadline = old.longest_deadline.max(new.longest_deadline);
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -16,6 +16,10 @@
 /// Longest body of the platform's messages, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 
+/// The least memory that a marshal can be given, in MB.
+const MIN_MEMORY_MB: f64 = 16.0;
+const BYTES_PER_MB: f64 = 1_048_576.0;
+
 /// Environment variable that names the file.
 pub const CONFIG_PATH_ENV: &str = "LB_CONFIG";
 
@@ -66,6 +70,16 @@
             .filter(|n| *n >= 64)
             .ok_or_else(|| invalid("limits.sockets", "a whole number of 64 or more"))?,
     };
+    let memory_bytes = match &top["limits"]["memory_mb"] {
+        Value::Null => None,
+        number => Some(
+            number
+                .as_f64()
+                .filter(|megabytes| *megabytes >= MIN_MEMORY_MB)
+                .map(|megabytes| (megabytes * BYTES_PER_MB) as usize)
+                .ok_or_else(|| invalid("limits.memory_mb", "a number of 16 or more"))?,
+        ),
+    };
     let mut catalog = members::Catalog::default();
     if !top["known"].is_null() {
         catalog.apply(&top["known"].to_string()).map_err(|error| format!("{file}: known: {error}"))?;
@@ -84,7 +98,7 @@
     // always polled over HTTP.
     rollout.polls_discovery = true;
     rollout.rules.list_lease = Some(LIST_LEASE);
-    let limits = Limits::by_descriptors(sockets as usize, MAX_BODY_BYTES, connect_timeout);
+    let limits = Limits::by_process(sockets as usize, memory_bytes, MAX_BODY_BYTES, connect_timeout);
     let regions = vec![0; zones.len()];
     let (methods, tenants) = (methods.iter().collect(), tenants.iter().collect());
     // The platform has a single service, so methods name none.
--- a/crates/platform/src/start/tests.rs
+++ b/crates/platform/src/start/tests.rs
@@ -31,9 +31,19 @@
     assert!(error.contains("settings: the idempotency of class 1"), "{error}");
     let error = error_after_replacing("\"sockets\": 1024", "\"sockets\": -3");
     assert!(error.contains("limits.sockets"), "{error}");
+    let error = error_after_replacing("\"memory_mb\": 192", "\"memory_mb\": 3");
+    assert!(error.contains("limits.memory_mb") && error.contains("16 or more"), "{error}");
     assert!(parse("start.json", "{\n  oh\n}").err().unwrap().starts_with("start.json:2:"));
 }
 
+/// Guards against a memory limit that is told and not looked at.
+#[test]
+fn what_is_held_for_peers_is_bounded_by_the_memory_of_the_configuration() {
+    let peer_memory = |text: &str| parse("start.json", text).unwrap().config.limits.peer_memory_bytes;
+    assert_eq!(peer_memory(EXAMPLE), Some(96 << 20));
+    assert_eq!(peer_memory(&EXAMPLE.replace("\"memory_mb\": 192", "\"memory_mb\": 32")), Some(16 << 20));
+}
+
 /// The example file, cut after any byte.
 #[test]
 fn a_truncated_file_is_rejected_with_its_position() {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! depends on a wire protocol, so that a real marshal and the simulator's adapter drive the same code.
 #![forbid(unsafe_code)]
 
+pub mod admission;
 mod marshal;
 mod policy;
 pub mod port;
--- a/crates/sockets/src/socket.rs
+++ b/crates/sockets/src/socket.rs
@@ -26,6 +26,9 @@
 /// ENFILE and EMFILE.
 const OUT_OF_DESCRIPTORS: [i32; 2] = [23, 24];
 
+/// A body up to this many bytes is copied behind its head, so that both are written in one call.
+const MAX_COPIED_BODY_BYTES: usize = 4096;
+
 /// Whether an OS error code means that no descriptor is left.
 pub fn out_of_descriptors(error: i32) -> bool {
     OUT_OF_DESCRIPTORS.contains(&error)
@@ -224,6 +227,23 @@
         Ok(())
     }
 
+    /// Writes a head and a body before `deadline`, as [`Socket::write`] does. A long body is not copied.
+    ///
+    /// # Errors
+    /// As [`Socket::write`].
+    pub fn write_message(
+        &self, mut head: Vec<u8>, body: &[u8], deadline: Instant,
+    ) -> Result<(), (usize, io::Error)> {
+        if body.len() <= MAX_COPIED_BODY_BYTES {
+            head.extend_from_slice(body);
+            return self.write(&head, deadline);
+        }
+        let head_length = head.len();
+        self.write(&head, deadline)?;
+        drop(head);
+        self.write(body, deadline).map_err(|(written, e)| (head_length + written, e))
+    }
+
     /// See [`SocketHandle::peer_closed`].
     pub fn peer_closed(&self) -> bool {
         self.handle.peer_closed()
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use hcl_reader::{BlockReader, ConfigErrors, SourceFile};
+use ivydrift_policy::admission;
 use ivydrift_policy::port::*;
 pub use names::Names;
 pub use subset::SubsetConfig;
@@ -47,6 +48,9 @@
     pub close_after_answer_above: usize,
     /// File descriptors the process may use. If set, idle clients are also closed to stay below it.
     pub max_descriptors: Option<usize>,
+    /// The most memory in bytes held for peers together: connections, messages, answers. None: no bound but those of
+    /// single messages and of `max_clients`.
+    pub peer_memory_bytes: Option<usize>,
     /// Bodies of up to this many bytes are buffered so that the RPC can be retried. A longer body is streamed to the
     /// node, so the RPC is sent only once.
     pub buffered_body_bytes: usize,
@@ -83,14 +87,15 @@
 }
 
 impl Limits {
-    /// Default limits for a process with `descriptors` file descriptors. Clients may use those that are not needed by
+    /// Default limits for a process with `descriptors` file descriptors, which may use `memory` bytes. Clients may use those descriptors that are not needed by
     /// RPCs in progress (up to one more each, to a node) and idle connections to nodes. Clients that send one RPC and
     /// stay connected could fill a third of the descriptors and block new clients, so `close_after_answer_above` is a quarter.
-    pub fn by_descriptors(descriptors: usize, body: usize, connect: Duration) -> Limits {
+    pub fn by_process(descriptors: usize, memory: Option<usize>, body: usize, connect: Duration) -> Limits {
         Limits {
             max_clients: descriptors,
             close_after_answer_above: descriptors / 4,
             max_descriptors: Some(descriptors),
+            peer_memory_bytes: memory.map(admission::peer_memory_bytes),
             buffered_body_bytes: body,
             max_body_bytes: body as u64,
             handshakes_per_s: 2000,
@@ -227,6 +232,7 @@
         max_clients: block.integer("clients", Some(10_000), 1..=1_000_000) as usize,
         close_after_answer_above: usize::MAX,
         max_descriptors: None,
+        peer_memory_bytes: None,
         buffered_body_bytes: block.integer("body_kib", Some(64), 1..=16_384) as usize * 1024,
         max_body_bytes: block.integer("longest_body_kib", Some(65_536), 1..=1 << 30) * 1024,
         handshakes_per_s: block.integer("handshakes", Some(2000), 1..=1_000_000) as usize,
--- a/crates/terms/src/tests.rs
+++ b/crates/terms/src/tests.rs
@@ -92,7 +92,7 @@
 fn a_third_of_descriptors_as_clients_leaves_one_for_each_pick() {
     for sockets in [256, 1024] {
         assert!(
-            2 * (sockets / 3) + Limits::by_descriptors(sockets, 1, Duration::ZERO).max_idle_total + 16
+            2 * (sockets / 3) + Limits::by_process(sockets, None, 1, Duration::ZERO).max_idle_total + 16
                 <= sockets,
             "{sockets}"
         );
