--- a/crates/edge/tests/hard/floods.rs
+++ b/crates/edge/tests/strangers/floods.rs
@@ -9,6 +9,7 @@
 
 use crate::platform_scene::*;
 use crate::process::Process;
+use crate::run_alone;
 use crate::scene::*;
 use crate::usual_client::run_usual_client;
 
@@ -93,6 +94,7 @@
 /// Guards against empty lines that count towards no limit and keep the worker for as long as they come.
 #[test]
 fn a_client_that_sends_empty_lines_at_full_speed_is_refused_and_others_are_served() {
+    let _alone = run_alone();
     let ends = serve_beside_floods(3, b"\r\n");
     let late: Vec<_> = ends.iter().filter(|end| end.after > OWED_WITHIN).collect();
     assert!(late.is_empty(), "{late:?} of {}", ends.len());
@@ -102,6 +104,7 @@
 /// Guards against complete messages that are read and answered without ever giving way to others.
 #[test]
 fn clients_that_send_health_checks_at_full_speed_leave_the_worker_to_others() {
+    let _alone = run_alone();
     for floods in [1, 12] {
         serve_beside_floods(floods, b"GET /_health HTTP/1.1\r\nHost: b\r\n\r\n");
     }
