--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -114,8 +114,9 @@
     fn run(&mut self) -> bool {
         loop {
             self.release_message();
-            self.client.mark_idle();
+            // Not idle meanwhile: the buffer may hold the next message, and an idle connection may be closed.
             self.socket.wait_for_turn();
+            self.client.mark_idle();
             let (request, first_byte_at) = match self.read_head() {
                 Ok(read) => read,
                 Err(ReadError::Closed) => return false,
