--- /dev/null
+++ b/crates/edge/tests/hard/departures.rs
@@ -0,0 +1,156 @@
+//! Clients that leave while something they sent is still unread: it must not hide that they have gone.
+
+use std::io::{ErrorKind, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::Duration;
+
+use crate::platform_scene::*;
+use crate::scene::*;
+
+/// How long after a client's close an attempt for it may begin; each time limit is 50 ms longer on sockets.
+const MAY_BEGIN_WITHIN: Duration = ms(150);
+/// How long the nodes are watched after that: longer than any attempt lasts.
+const WATCHED: Duration = ms(2500);
+/// How long a client stays after its last byte.
+const STAYS: Duration = ms(100);
+
+/// How a client ends its connection.
+#[derive(Clone, Copy)]
+enum Departure {
+    Close,
+    Reset,
+    /// It ends its sending and still reads. On the wire this looks like a close.
+    HalfClose,
+}
+
+/// Ends the connection. A stream that comes back is one that still reads.
+fn leave(stream: TcpStream, departure: Departure) -> Option<TcpStream> {
+    match departure {
+        Departure::Close => None,
+        Departure::Reset => {
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+            None
+        }
+        Departure::HalfClose => {
+            stream.shutdown(Shutdown::Write).unwrap();
+            Some(stream)
+        }
+    }
+}
+
+/// Nodes that break off each attempt after 400 ms, so that another one follows.
+fn breaking_nodes() -> Vec<Node> {
+    let breaking = || {
+        node(Box::new(|_, _| {
+            std::thread::sleep(ms(400));
+            false
+        }))
+    };
+    (0..4).map(|_| breaking()).collect()
+}
+
+fn addrs(nodes: &[Node]) -> Vec<SocketAddr> {
+    nodes.iter().map(|node| node.addr).collect()
+}
+
+fn messages(nodes: &[Node]) -> usize {
+    nodes.iter().map(Node::messages).sum()
+}
+
+/// Checks that nodes get nothing more for a client that has just left.
+fn assert_nothing_follows(nodes: &[Node]) {
+    std::thread::sleep(MAY_BEGIN_WITHIN);
+    let before = messages(nodes);
+    assert!(before > 0, "no attempt was made while the client was there");
+    std::thread::sleep(WATCHED);
+    assert_eq!(messages(nodes) - before, 0, "attempts began after the client had left");
+}
+
+/// A client sends a request, then `more`, and leaves.
+fn check_departure(more: impl Fn(&mut TcpStream), departure: Departure) {
+    let nodes = breaking_nodes();
+    let scene = PlatformScene::new(&addrs(&nodes));
+    let mut stream = scene.connect();
+    write_text(&mut stream, &read_request("first"));
+    wait_for("the first attempt", ms(1000), || messages(&nodes) > 0);
+    more(&mut stream);
+    std::thread::sleep(STAYS);
+    let _reading = leave(stream, departure);
+    assert_nothing_follows(&nodes);
+    wait_for("the end of its requests", ms(1000), || scene.running.counts().held == 0);
+}
+
+/// Sends as much as the sockets' buffers of both sides take, in requests one behind the other.
+fn fill(stream: &mut TcpStream) {
+    stream.set_nonblocking(true).unwrap();
+    for number in 0.. {
+        // A partly written request at the end changes nothing: what is before it is whole.
+        match stream.write(booking_request(&format!("fill-{number}")).repeat(40).as_bytes()) {
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+            Err(e) => panic!("{e}"),
+        }
+    }
+    stream.set_nonblocking(false).unwrap();
+}
+
+#[test]
+fn a_request_in_the_marshals_buffer_does_not_hide_a_close() {
+    for departure in [Departure::Close, Departure::Reset, Departure::HalfClose] {
+        let nodes = breaking_nodes();
+        let scene = PlatformScene::new(&addrs(&nodes));
+        let mut stream = scene.connect();
+        write_text(&mut stream, &(read_request("first") + &read_request("second")));
+        std::thread::sleep(STAYS);
+        let _reading = leave(stream, departure);
+        assert_nothing_follows(&nodes);
+    }
+}
+
+#[test]
+fn a_request_unread_in_the_socket_does_not_hide_a_close() {
+    check_departure(|stream| drop(write_text(stream, &read_request("second"))), Departure::Close);
+}
+
+#[test]
+fn more_than_the_sockets_buffers_take_does_not_hide_a_close() {
+    check_departure(fill, Departure::Close);
+}
+
+#[test]
+fn an_id_that_waits_behind_another_request_runs_once_when_it_returns_elsewhere() {
+    let nodes = vec![node(Box::new(|nth, stream| {
+        std::thread::sleep(ms(if nth == 0 { 600 } else { 0 }));
+        write_ok(stream, "done")
+    }))];
+    let (left, other) = (PlatformScene::new(&addrs(&nodes)), PlatformScene::new(&addrs(&nodes)));
+    let mut stream = left.connect();
+    write_text(&mut stream, &read_request("first"));
+    wait_for("the first attempt", ms(1000), || messages(&nodes) == 1);
+    write_text(&mut stream, &booking_request("returns"));
+    std::thread::sleep(STAYS);
+    drop(stream);
+    assert_eq!(other.request(&booking_request("returns")).status, 200);
+    std::thread::sleep(ms(1500));
+    let received = nodes[0].received.lock().unwrap();
+    assert_eq!(received.iter().filter(|text| text.contains("returns")).count(), 1, "it ran twice");
+}
+
+/// Guards against a look ahead that costs requests of a client that is still there.
+#[test]
+fn each_request_of_a_client_that_stays_is_answered_however_many_wait() {
+    let quick = healthy_node("fine");
+    let scene = PlatformScene::new(&[quick.addr]);
+    let mut stream = scene.connect();
+    let mut writing = stream.try_clone().unwrap();
+    let count = 6000;
+    let writer = std::thread::spawn(move || {
+        (0..count)
+            .for_each(|number| assert!(write_text(&mut writing, &booking_request(&format!("w{number}")))));
+    });
+    for number in 0..count {
+        let answer = answer(&mut stream).unwrap_or_else(|| panic!("no answer to request {number}"));
+        assert!(matches!(answer.status, 200 | 503), "request {number}: {}", answer.status);
+    }
+    writer.join().unwrap();
+}
--- a/crates/edge/tests/hard/main.rs
+++ b/crates/edge/tests/hard/main.rs
@@ -3,6 +3,7 @@
 
 mod bodies;
 mod clients;
+mod departures;
 mod discovery_faults;
 mod faulty_discovery;
 mod machine;
