--- a/crates/sockets/src/lib.rs
+++ b/crates/sockets/src/lib.rs
@@ -11,4 +11,4 @@
 
 pub use fair_share::{Turn, TurnClass};
 pub use listen::{listen, Listener, Waker};
-pub use socket::{out_of_descriptors, Socket, SocketHandle};
+pub use socket::{out_of_descriptors, PeerState, Socket, SocketHandle};
--- a/crates/sockets/src/socket.rs
+++ b/crates/sockets/src/socket.rs
@@ -14,6 +14,7 @@
 
 use may::io::WaitIo;
 use may::net::TcpStream;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use socket2::{Domain, SockRef, Type};
 
 use crate::clock::ReadTimeout;
@@ -51,18 +52,55 @@
     shut_down: Arc<AtomicBool>,
 }
 
+/// A poll with this timeout does not wait.
+const NO_WAIT: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+
+/// What the kernel knows of a connection's peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerState {
+    /// It is connected, and nothing is unread.
+    Quiet,
+    /// It is connected as far as the kernel knows, and something is unread. If that fills the receive buffer, a
+    /// close cannot arrive until it is read.
+    Unread,
+    /// It ended its sending, closed or reset the connection. Something may be unread still.
+    Closed,
+}
+
+impl PeerState {
+    /// The state that a poll reports.
+    fn of(events: PollFlags) -> Self {
+        if events.intersects(PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR) {
+            PeerState::Closed
+        } else if events.contains(PollFlags::IN) {
+            PeerState::Unread
+        } else {
+            PeerState::Quiet
+        }
+    }
+}
+
 fn timed_out() -> io::Error {
     ErrorKind::TimedOut.into()
 }
 
 impl SocketHandle {
-    /// Whether the peer has closed or reset the connection, as far as that is visible behind unread bytes.
+    /// What is known of the peer, also if something is unread: a read or a peek would find that first. A
+    /// connection that its owner has closed counts as closed by the peer.
+    pub fn peer_state(&self) -> PeerState {
+        let polled = self.with_open(|socket| {
+            let mut polled = [PollFd::new(&*socket, PollFlags::IN | PollFlags::RDHUP)];
+            // A poll that fails says nothing about the peer.
+            poll(&mut polled, Some(&NO_WAIT))
+                .map_or(PeerState::Unread, |_| PeerState::of(polled[0].revents()))
+        });
+        polled.unwrap_or(PeerState::Closed)
+    }
+
+    /// Whether the peer has ended its sending, closed or reset the connection. A close cannot arrive while
+    /// unread bytes fill the receive buffer.
     pub fn peer_closed(&self) -> bool {
-        match self.with_open(|socket| socket.peek(&mut [MaybeUninit::uninit()])) {
-            None => true,
-            Some(Ok(n)) => n == 0,
-            Some(Err(e)) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
-        }
+        self.peer_state() == PeerState::Closed
     }
 
     /// Runs one non-blocking call on the connection, if it is open.
