--- a/crates/edge/src/clients/caller.rs
+++ b/crates/edge/src/clients/caller.rs
@@ -1,6 +1,7 @@
 //! The client's side of an RPC while a pick is in progress.
 
 use std::io::ErrorKind;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -62,6 +63,14 @@
         BodyRead::Failed
     }
 
+    /// Goes on with what was read ahead before the body was asked for. From now on it is read here only.
+    fn take_read_ahead(&mut self) {
+        let taken = self.client.take_read_ahead();
+        self.held_bytes += taken.held_bytes;
+        self.client.held_bytes.fetch_add(taken.held_bytes, Ordering::Relaxed);
+        taken.append_to(self.buf);
+    }
+
     /// Tells the core that the pick has consumed body bytes, and how long it waited for them.
     pub fn report_body_read(&self, waited: Duration) {
         let (id, pick) = (self.id, self.pick);
@@ -72,6 +81,7 @@
 impl Caller for ConnectionCaller<'_> {
     fn read_body(&mut self, wait: Duration) -> BodyRead {
         let began = Instant::now();
+        self.take_read_ahead();
         if began >= self.remaining.deadline {
             return self.stop(ReadError::Refused(TOO_SLOW));
         }
--- a/crates/edge/src/clients/client.rs
+++ b/crates/edge/src/clients/client.rs
@@ -9,6 +9,7 @@
 use ivydrift_policy::admission::ConnectionPhase;
 use may::sync::Semphore;
 
+use super::read_ahead::ReadAhead;
 use crate::exchange::PickHandle;
 use ivydrift_sockets::SocketHandle;
 
@@ -33,6 +34,10 @@
     pub(super) held_bytes: AtomicUsize,
     /// The connection waits for memory. What it has read may be a complete message, so it is not closed.
     pub(super) awaits_memory: AtomicBool,
+    /// What was read behind the RPC in progress.
+    pub(super) read_ahead: Mutex<ReadAhead>,
+    /// When the client was last seen to be there, in milliseconds after `accepted_at`.
+    pub(super) present_at_ms: AtomicU64,
     mailbox: Mutex<Mailbox>,
     /// Posted for each entry of the mailbox.
     pub(super) wake: Semphore,
@@ -103,6 +108,8 @@
             phase_since_ms: AtomicU64::new(0),
             held_bytes: AtomicUsize::new(0),
             awaits_memory: AtomicBool::new(false),
+            read_ahead: Mutex::default(),
+            present_at_ms: AtomicU64::new(0),
             mailbox: Mutex::default(),
             wake: Semphore::new(0),
             current: Mutex::default(),
--- a/crates/edge/src/clients/memory.rs
+++ b/crates/edge/src/clients/memory.rs
@@ -85,16 +85,19 @@
         let held = client.held_bytes.load(Ordering::Relaxed);
         if wanted <= held {
             self.used.fetch_sub(held - wanted, Ordering::Relaxed);
-        } else {
-            let bound = memory_use.bound(self.limit());
-            let grown = |used: usize| used.checked_add(wanted - held).filter(|used| *used <= bound);
-            if self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, grown).is_err() {
-                return false;
-            }
+        } else if !self.grow(wanted - held, memory_use) {
+            return false;
         }
         client.held_bytes.store(wanted, Ordering::Relaxed);
         true
     }
+
+    /// Holds this many bytes more. Returns false, and changes nothing, if that is more than there is for this use.
+    pub(super) fn grow(&self, bytes: usize, memory_use: MemoryUse) -> bool {
+        let bound = memory_use.bound(self.limit());
+        let grown = |used: usize| used.checked_add(bytes).filter(|used| *used <= bound);
+        self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, grown).is_ok()
+    }
 }
 
 /// Clients with a rank are closed, the greatest first, until they free enough bytes. Returns how many were
--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod client;
 mod memory;
+mod read_ahead;
 mod reading;
 mod serve;
 #[cfg(test)]
@@ -13,6 +14,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ivydrift_policy::presence::{Presence, PRESENCE_VALID_FOR};
 use ivydrift_wire::http::{HeadWriter, ParseError};
 
 use crate::Edge;
@@ -73,6 +75,7 @@
     let mut connection =
         Connection { edge, client: &client, socket, buf: Vec::new(), message_bytes: 0, is_usual: false };
     let may_be_in_transit = connection.run();
+    connection.take_read_ahead();
     if connection.is_usual {
         edge.usual_connections.fetch_sub(1, Ordering::Relaxed);
     }
@@ -144,9 +147,8 @@
                 }
                 continue;
             }
-            // After a stall, requests waiting in the socket may be from clients that left long ago. The id of
-            // such a request is still unclaimed, so it may be sent again elsewhere.
-            if self.edge.recently_stalled() && self.socket.peer_closed() {
+            // The id of such a request is still unclaimed, so it may be sent again elsewhere.
+            if self.client_left_before(decoder.is_complete()) {
                 return true;
             }
             let (time_left, claim) =
@@ -168,6 +170,7 @@
             };
             let served = self.serve_rpc(request, body, remaining, time_left, keep);
             drop(claim);
+            self.take_read_ahead();
             match served {
                 Served::KeepAlive if keep => {}
                 Served::KeepAlive | Served::Close => return true,
@@ -176,6 +179,18 @@
         }
     }
 
+    /// Whether the client left before its request, which was just read, is taken. The request may have waited
+    /// unread behind another one, or through a stall. From now on bytes after it may be read ahead.
+    fn client_left_before(&self, body_is_complete: bool) -> bool {
+        self.client.open_read_ahead(body_is_complete);
+        let waited_until = self.socket.waited_until();
+        if waited_until.elapsed() < PRESENCE_VALID_FOR && !self.edge.recently_stalled() {
+            self.client.record_present(waited_until);
+            return false;
+        }
+        self.edge.look_for(self.client) == Presence::Gone
+    }
+
     /// Rejects a message and closes the connection, because the message boundary cannot be trusted.
     fn refuse(&self, error: ParseError) -> bool {
         let head = HeadWriter::response(error.status)
--- /dev/null
+++ b/crates/edge/src/clients/read_ahead.rs
@@ -0,0 +1,209 @@
+//! Whether the client of an RPC in progress is still there, and what has to be read ahead to know it.
+//!
+//! A close arrives behind everything that the client has sent. While that fills the receive buffer, it cannot arrive,
+//! so it is read ahead, within the limits of [`ivydrift_policy::admission`]. What was read ahead is served after
+//! the RPC in progress.
+
+use std::io::ErrorKind;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Instant;
+
+use ivydrift_marshal::{Command, Id, Input, Observation};
+use ivydrift_policy::admission::{MemoryUse, MAX_READ_AHEAD_BYTES};
+use ivydrift_policy::presence::{decide_attempt, AttemptDecision, Presence, PRESENCE_VALID_FOR};
+
+use super::Client;
+use crate::Edge;
+use ivydrift_sockets::{PeerState, Turn, TurnClass};
+
+/// Bytes of one read.
+const READ_BYTES: usize = 4096;
+
+/// What was read on a connection behind its RPC in progress.
+#[derive(Default)]
+pub struct ReadAhead {
+    /// An RPC is in progress and its coroutine does not read.
+    open: bool,
+    /// The RPC's body is complete, so what is read belongs to the messages after it.
+    body_is_complete: bool,
+    bytes: Vec<u8>,
+    /// Memory held for `bytes`.
+    held_bytes: usize,
+    /// Reads since the RPC began.
+    reads: u32,
+}
+
+/// What was read ahead, for the connection to go on with.
+pub struct TakenBytes {
+    pub bytes: Vec<u8>,
+    /// Memory held for them, which is now the connection's to release.
+    pub held_bytes: usize,
+    pub reads: u32,
+}
+
+impl TakenBytes {
+    /// Appends them to what the connection has read itself.
+    pub fn append_to(self, buffer: &mut Vec<u8>) {
+        if buffer.is_empty() && !self.bytes.is_empty() {
+            *buffer = self.bytes;
+        } else {
+            buffer.reserve_exact(self.bytes.len());
+            buffer.extend_from_slice(&self.bytes);
+        }
+    }
+}
+
+impl Client {
+    /// Allows reading ahead, as the connection's coroutine does not read until it takes the bytes.
+    pub(crate) fn open_read_ahead(&self, body_is_complete: bool) {
+        let mut read_ahead = self.read_ahead.lock().unwrap();
+        (read_ahead.open, read_ahead.body_is_complete) = (true, body_is_complete);
+    }
+
+    /// Ends the reading ahead and returns what was read.
+    pub(crate) fn take_read_ahead(&self) -> TakenBytes {
+        let taken = std::mem::take(&mut *self.read_ahead.lock().unwrap());
+        TakenBytes { bytes: taken.bytes, held_bytes: taken.held_bytes, reads: taken.reads }
+    }
+
+    /// Reads since the RPC in progress began.
+    fn reads_ahead(&self) -> u32 {
+        self.read_ahead.lock().unwrap().reads
+    }
+
+    /// Records that the client was there at this time.
+    pub(crate) fn record_present(&self, at: Instant) {
+        let ms = at.saturating_duration_since(self.accepted_at).as_millis() as u64;
+        self.present_at_ms.fetch_max(ms, Ordering::Relaxed);
+    }
+
+    /// Whether the client was seen to be there a moment ago.
+    fn was_just_present(&self) -> bool {
+        let ms = self.accepted_at.elapsed().as_millis() as u64;
+        let seen_before_ms = ms.saturating_sub(self.present_at_ms.load(Ordering::Relaxed));
+        seen_before_ms < PRESENCE_VALID_FOR.as_millis() as u64
+    }
+}
+
+impl Edge {
+    /// Looks whether a client is there.
+    pub(crate) fn look_for(&self, client: &Client) -> Presence {
+        match client.socket_handle.peer_state() {
+            PeerState::Closed => Presence::Gone,
+            PeerState::Unread => self.read_ahead(client),
+            PeerState::Quiet => {
+                client.record_present(Instant::now());
+                Presence::Present
+            }
+        }
+    }
+
+    /// Reads ahead until nothing is unread, or no more may be held.
+    fn read_ahead(&self, client: &Client) -> Presence {
+        let mut read_ahead = client.read_ahead.lock().unwrap();
+        if !read_ahead.open {
+            // The connection's coroutine reads, and so finds the end by itself.
+            return Presence::Present;
+        }
+        let mut chunk = [0; READ_BYTES];
+        while self.reserve_read_ahead(&mut read_ahead) {
+            read_ahead.reads += 1;
+            match client.socket_handle.read_available(&mut chunk) {
+                Ok(0) => return Presence::Gone,
+                Ok(n) => read_ahead.bytes.extend_from_slice(&chunk[..n]),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    client.record_present(Instant::now());
+                    return Presence::Present;
+                }
+                Err(_) => return Presence::Gone,
+            }
+        }
+        Presence::Unknown
+    }
+
+    /// Makes room for one more read. Returns false if no more may be held.
+    fn reserve_read_ahead(&self, read_ahead: &mut ReadAhead) -> bool {
+        let (length, capacity) = (read_ahead.bytes.len(), read_ahead.bytes.capacity());
+        if length + READ_BYTES <= capacity {
+            return true;
+        }
+        let wanted = (2 * capacity).clamp(READ_BYTES, MAX_READ_AHEAD_BYTES);
+        let has_room = length + READ_BYTES <= wanted
+            && self.peer_memory.grow(wanted - read_ahead.held_bytes, MemoryUse::ReadAhead);
+        if has_room {
+            read_ahead.held_bytes = wanted;
+            read_ahead.bytes.reserve_exact(wanted - length);
+        }
+        has_room
+    }
+
+    /// What becomes of an attempt for this client that is about to begin.
+    pub(crate) fn decide_attempt(&self, id: Id, client: &Client) -> AttemptDecision {
+        if client.disconnected.load(Ordering::Acquire) {
+            return AttemptDecision::Drop;
+        }
+        if client.was_just_present() {
+            return AttemptDecision::Begin;
+        }
+        let presence = self.look_for(client);
+        let body_is_complete = client.read_ahead.lock().unwrap().body_is_complete;
+        let decision = decide_attempt(presence, body_is_complete);
+        self.guard.record_decision(id, decision);
+        decision
+    }
+
+    /// Ends an RPC of which a pick was ordered that may not begin. Returns the commands that follow.
+    pub(crate) fn refuse_attempt(self: &Arc<Self>, id: Id, pick: usize) -> Vec<Command> {
+        self.dispatch(Input::AttemptsStopped { id }, id);
+        self.dispatch(Input::PickEnded { id, pick, observation: Observation::NotAttempted }, id)
+    }
+
+    /// Tells the core that the client of an RPC in progress has left.
+    pub(crate) fn record_departure(self: &Arc<Self>, id: Id, client: &Client) {
+        tracing::debug!(
+            id,
+            read_ahead = client.reads_ahead(),
+            "the client left with its request in progress"
+        );
+        self.dispatch(Input::ClientLeft { id }, 0);
+        client.mark_disconnected();
+    }
+
+    /// Tells the core of clients that have left while their RPC was in progress, as far as the kernel knows of it.
+    /// For those with unread bytes it may not, so they are handed to [`Edge::read_ahead_for_clients`].
+    pub(crate) fn report_departures(self: &Arc<Self>) {
+        let in_progress: Vec<(Id, Arc<Client>)> =
+            self.in_progress.lock().unwrap().iter().map(|(id, client)| (*id, client.clone())).collect();
+        let mut unread = Vec::new();
+        for (id, client) in in_progress {
+            match client.socket_handle.peer_state() {
+                PeerState::Closed => self.record_departure(id, &client),
+                PeerState::Unread => unread.push((id, client)),
+                PeerState::Quiet => client.record_present(Instant::now()),
+            }
+        }
+        if !unread.is_empty() {
+            *self.unread_clients.lock().unwrap() = unread;
+            self.unread_clients_wake.post();
+        }
+    }
+
+    /// Reads ahead for clients with unread bytes, in turn with all that others send. Never returns.
+    pub(crate) fn read_ahead_for_clients(self: &Arc<Self>) {
+        let turn = Turn::new(TurnClass::Connection);
+        loop {
+            self.unread_clients_wake.wait();
+            let unread = std::mem::take(&mut *self.unread_clients.lock().unwrap());
+            for (id, client) in unread {
+                turn.wait_if_used_up();
+                let reads_before = client.reads_ahead();
+                if self.look_for(&client) == Presence::Gone {
+                    self.record_departure(id, &client);
+                }
+                (reads_before..client.reads_ahead()).for_each(|_| turn.record_operation());
+            }
+        }
+    }
+}
--- a/crates/edge/src/clients/reading.rs
+++ b/crates/edge/src/clients/reading.rs
@@ -1,6 +1,7 @@
 //! Reads requests from a client connection, within the limits on their size, time and memory.
 
 use std::io::ErrorKind;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use ivydrift_policy::admission::MemoryUse;
@@ -39,6 +40,15 @@
         Ok(())
     }
 
+    /// Goes on with what was read ahead while the last RPC was in progress.
+    pub(super) fn take_read_ahead(&mut self) {
+        let taken = self.client.take_read_ahead();
+        self.socket.record_reads(taken.reads);
+        // The memory that is held for the bytes is the connection's from now on.
+        self.client.held_bytes.fetch_add(taken.held_bytes, Ordering::Relaxed);
+        taken.append_to(&mut self.buf);
+    }
+
     /// Releases what was held for the last message.
     pub(super) fn release_message(&mut self) {
         self.message_bytes = 0;
--- a/crates/edge/src/clients/serve.rs
+++ b/crates/edge/src/clients/serve.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ivydrift_marshal::{Command, Input, Observation};
+use ivydrift_policy::presence::AttemptDecision;
 use ivydrift_wire::http::{HeadWriter, Request};
 
 use super::caller::{ConnectionCaller, ReadError, RemainingBody};
@@ -51,17 +52,27 @@
             // meantime.
             keep_open =
                 keep_alive && remaining.decoder.is_complete() && !edge.stopping() && !edge.is_crowded();
-            match command {
-                Command::Pick { .. } if client.disconnected.load(Ordering::Acquire) => {
-                    commands.push_front(command);
-                    break false;
+            if let Command::Pick { pick, .. } = command {
+                match edge.decide_attempt(id, client) {
+                    AttemptDecision::Begin => {}
+                    AttemptDecision::Refuse => {
+                        commands.extend(edge.refuse_attempt(id, pick));
+                        continue;
+                    }
+                    AttemptDecision::Drop => {
+                        edge.record_departure(id, client);
+                        commands.push_front(command);
+                        break false;
+                    }
                 }
+            }
+            match command {
                 Command::Pick { pick, node, by, careful, .. } => {
                     client.begin_pick(id, pick);
                     let deadline = edge.instant(by);
                     let (connect_timeout, pool, dialect) =
                         (edge.limits().connect_timeout, &edge.pool, &edge.dialect);
-                    let admission = Attempt { edge, id, node, deadline };
+                    let admission = Attempt { edge, client, id, node, deadline };
                     let attempt = Pick {
                         node,
                         deadline,
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use ivydrift_marshal::{Id, Withheld};
+use ivydrift_policy::presence::AttemptDecision;
 
+use crate::clients::Client;
 use crate::exchange::Admission;
 use crate::Edge;
 
@@ -21,6 +23,8 @@
 pub struct Guard {
     withheld_withdrawn: AtomicU64,
     withheld_stale: AtomicU64,
+    withheld_departed: AtomicU64,
+    withheld_unseen: AtomicU64,
     sent_to_withdrawn: AtomicU64,
     sent_too_late: AtomicU64,
     closed_unanswered: AtomicU64,
@@ -33,6 +37,10 @@
     pub withdrawn: u64,
     /// The node list was too old.
     pub stale_list: u64,
+    /// The client had left.
+    pub departed_client: u64,
+    /// More of the client's bytes were unread than may be read ahead, so it was not known whether it had left.
+    pub unseen_client: u64,
 }
 
 /// Broken rules, by rule.
@@ -52,6 +60,8 @@
         WithheldCounts {
             withdrawn: self.withheld_withdrawn.load(Ordering::Relaxed),
             stale_list: self.withheld_stale.load(Ordering::Relaxed),
+            departed_client: self.withheld_departed.load(Ordering::Relaxed),
+            unseen_client: self.withheld_unseen.load(Ordering::Relaxed),
         }
     }
 
@@ -64,6 +74,17 @@
         }
     }
 
+    /// Counts an attempt that is withheld for what is known of its client.
+    pub fn record_decision(&self, id: Id, decision: AttemptDecision) {
+        let count = match decision {
+            AttemptDecision::Begin => return,
+            AttemptDecision::Refuse => &self.withheld_unseen,
+            AttemptDecision::Drop => &self.withheld_departed,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
+        tracing::debug!(id, ?decision, "attempt withheld for its client");
+    }
+
     /// Records that a request ended without an answer to a client that is still connected.
     pub fn closed_unanswered(&self, id: Id) {
         self.closed_unanswered.fetch_add(1, Ordering::Relaxed);
@@ -74,6 +95,7 @@
 /// One attempt of an RPC at a node.
 pub struct Attempt<'a> {
     pub edge: &'a Edge,
+    pub client: &'a Client,
     pub id: Id,
     pub node: SocketAddr,
     /// The attempt's deadline.
@@ -83,6 +105,9 @@
 impl Admission for Attempt<'_> {
     fn admit(&self) -> bool {
         let edge = self.edge;
+        if edge.decide_attempt(self.id, self.client) != AttemptDecision::Begin {
+            return false;
+        }
         let withheld = edge.core.lock().unwrap().may_send(edge.now(), self.id, self.node).err();
         let Some(why) = withheld else { return true };
         let count = match why {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,6 +37,7 @@
 use ivydrift_terms::{Addresses, Config, Limits, Names};
 use ivydrift_wire::peer;
 use may::net::UdpSocket;
+use may::sync::Semphore;
 
 use clients::{Client, PeerMemory};
 use dialect::Dialect;
@@ -72,6 +73,9 @@
     /// The clients with an RPC in progress.
     in_progress: Mutex<HashMap<Id, Arc<Client>>>,
     clients: Mutex<HashMap<u64, Arc<Client>>>,
+    /// Clients with an RPC in progress that have sent more, for the coroutine that reads it ahead.
+    unread_clients: Mutex<Vec<(Id, Arc<Client>)>>,
+    unread_clients_wake: Semphore,
     /// Number of entries in `clients`.
     client_count: AtomicUsize,
     /// Client connections whose coroutines have not ended, including those closed to free a slot.
@@ -388,18 +392,6 @@
         }
     }
 
-    /// Tells the core of clients that have disconnected while their RPC was in progress.
-    fn report_disconnects(self: &Arc<Self>) {
-        let in_progress: Vec<(Id, Arc<Client>)> =
-            self.in_progress.lock().unwrap().iter().map(|(id, c)| (*id, c.clone())).collect();
-        for (id, client) in in_progress {
-            if client.socket_handle.peer_closed() {
-                self.dispatch(Input::ClientLeft { id }, 0);
-                client.mark_disconnected();
-            }
-        }
-    }
-
     /// Closes the client connections on which no message has begun.
     fn close_idle_clients(&self) {
         for client in self.clients.lock().unwrap().values() {
@@ -468,6 +460,8 @@
         dialect,
         in_progress: Mutex::default(),
         clients: Mutex::default(),
+        unread_clients: Mutex::default(),
+        unread_clients_wake: Semphore::new(0),
         client_count: AtomicUsize::new(0),
         open_connections: AtomicUsize::new(0),
         next_client_id: AtomicU64::new(0),
@@ -512,7 +506,7 @@
     (listen_addr, waker)
 }
 
-/// Starts the timer coroutine and the one that checks clients and idle connections.
+/// Starts the timer coroutine, and those that check clients and idle connections and read ahead.
 fn start_timers(edge: &Arc<Edge>) {
     // Set before the first round, so that a stall before it is detected.
     edge.last_tick_ms.store(edge.now().as_millis() as u64, Ordering::Relaxed);
@@ -520,6 +514,8 @@
     spawn(move || restart_on_panic(|| run_ticks(&ticking)));
     let maintained = edge.clone();
     spawn(move || restart_on_panic(|| run_maintenance(&maintained)));
+    let reading = edge.clone();
+    spawn(move || restart_on_panic(|| reading.read_ahead_for_clients()));
 }
 
 /// Sends the core a tick whenever one is due, and detects stalls. Never returns.
@@ -536,7 +532,7 @@
             ticking.last_stall_ms.store(now.as_millis() as u64, Ordering::Relaxed);
             tracing::warn!(stood_ms = round.as_millis() as u64, "this process stood still");
             // Reports clients that left during the stall first, so that nothing more is sent for them.
-            ticking.report_disconnects();
+            ticking.report_departures();
         }
         ticking.last_tick_ms.store(ticking.now().as_millis() as u64, Ordering::Relaxed);
         ticking.dispatch(Input::Tick, 0);
@@ -547,7 +543,7 @@
 fn run_maintenance(edge: &Arc<Edge>) {
     for round in 0u64.. {
         sleep(DISCONNECT_CHECK_INTERVAL);
-        edge.report_disconnects();
+        edge.report_departures();
         if edge.closing() {
             edge.close_idle_clients();
         }
--- a/crates/edge/src/races.rs
+++ b/crates/edge/src/races.rs
@@ -216,11 +216,12 @@
             rest_framing: None,
             via: String::new(),
         };
-        let idle = Client::new(Socket::connect(node, ms(1000)).unwrap().handle());
+        let socket = Socket::connect(node, ms(1000)).unwrap();
+        let idle = Client::new(socket.handle());
         // The pick's deadline has already passed, as it can after the process was stalled.
         let deadline = Instant::now();
         let (pool, dialect) = (&edge.pool, &edge.dialect);
-        let admission = Attempt { edge: &edge, id: 1, node, deadline };
+        let admission = Attempt { edge: &edge, client: &idle, id: 1, node, deadline };
         let pick = Pick {
             node,
             deadline,
@@ -247,8 +248,10 @@
     let node = listener.local_addr().unwrap();
     edge.dispatch(Input::NodeList(&[listed(node, State::Ready)]), 0);
     let deadline = Instant::now() + ms(10_000);
+    let (_stream, socket) = accepted_pair(&listener);
+    let client = Client::new(socket.handle());
     assert!(
-        Attempt { edge: &edge, id: 1, node, deadline }.admit(),
+        Attempt { edge: &edge, client: &client, id: 1, node, deadline }.admit(),
         "an attempt at a ready node must be admitted"
     );
     edge.dispatch(Input::NodeList(&[listed(node, State::Draining)]), 0);
@@ -265,9 +268,10 @@
             rest_framing: None,
             via: String::new(),
         };
-        let idle = Client::new(Socket::connect(node, ms(1000)).unwrap().handle());
+        let socket = Socket::connect(node, ms(1000)).unwrap();
+        let idle = Client::new(socket.handle());
         let (pool, dialect) = (&sending.pool, &sending.dialect);
-        let admission = Attempt { edge: &sending, id: 1, node, deadline };
+        let admission = Attempt { edge: &sending, client: &idle, id: 1, node, deadline };
         let pick = Pick {
             node,
             deadline,
@@ -281,7 +285,7 @@
     });
     assert_eq!((observation, edge.guard.withheld().withdrawn), (Observation::NotAttempted, 1));
     // A send within the drain grace is no violation; one after it is.
-    let attempt = Attempt { edge: &edge, id: 1, node, deadline };
+    let attempt = Attempt { edge: &edge, client: &client, id: 1, node, deadline };
     attempt.sent(withdrawn_at);
     assert_eq!(edge.guard.violations().sent_to_withdrawn, 0);
     std::thread::sleep(GRACE + ms(50));
--- a/crates/edge/tests/hard/departures.rs
+++ b/crates/edge/tests/hard/departures.rs
@@ -237,6 +237,23 @@
     assert_eq!(received.iter().filter(|text| text.contains("returns")).count(), 1, "it ran twice");
 }
 
+#[test]
+fn requests_that_wait_behind_a_slow_one_are_all_served() {
+    let slow_first = node(Box::new(|nth, stream| {
+        std::thread::sleep(ms(if nth == 0 { 400 } else { 0 }));
+        write_ok(stream, "done")
+    }));
+    let scene = PlatformScene::new(&[slow_first.addr]);
+    let mut stream = scene.connect();
+    let count = 300;
+    (0..count).for_each(|number| send(&mut stream, &booking_request(&format!("b{number}"))));
+    for number in 0..count {
+        let answer = answer(&mut stream).unwrap_or_else(|| panic!("no answer to request {number}"));
+        assert_eq!((answer.status, &*answer.body), (200, "done"), "request {number}");
+    }
+    assert_eq!(slow_first.messages(), count);
+}
+
 /// Guards against a look ahead that costs requests of a client that is still there.
 #[test]
 fn each_request_of_a_client_that_stays_is_answered_however_many_wait() {
--- a/crates/marshal/src/lib.rs
+++ b/crates/marshal/src/lib.rs
@@ -187,6 +187,7 @@
                 self.end_pick(now, id, pick, observation, events, commands)
             }
             Input::BodyConsumed { id, pick, waited } => self.rpcs.consume_body(id, pick, waited),
+            Input::AttemptsStopped { id } => self.rpcs.stop_attempts(id),
             Input::ClientLeft { id } => {
                 let Some(disconnected) = self.rpcs.disconnect(id) else { return };
                 self.counts.left += 1;
@@ -324,7 +325,7 @@
             // The RPC cannot be sent again, so there is nothing for the policy to decide: to the policy it is
             // over.
             events.push(Event::ClientLeft { rpc });
-            let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection);
+            let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::NotAttempted);
             if let Some((id, picks, why)) = self.rpcs.finish(rpc) {
                 commands.push(if never_ran {
                     self.counts.pushed_back += 1;
--- a/crates/marshal/src/messages.rs
+++ b/crates/marshal/src/messages.rs
@@ -101,6 +101,9 @@
     /// Body bytes that are not buffered were read from the client for this pick, so the RPC cannot be sent
     /// again. `waited`: time spent waiting for the client since the last such report.
     BodyConsumed { id: Id, pick: usize, waited: Duration },
+    /// It is not known whether the client is still there, so no pick may follow the one that was ordered. The RPC
+    /// gets its final answer when that one ends.
+    AttemptsStopped { id: Id },
     /// The client disconnected.
     ClientLeft { id: Id },
     /// A complete node list from discovery.
--- a/crates/marshal/src/rpcs.rs
+++ b/crates/marshal/src/rpcs.rs
@@ -28,8 +28,9 @@
     /// The pick whose answer is being streamed to the client.
     streaming: Option<usize>,
     last_outcome: Option<Outcome>,
-    /// Part of the body was sent with a pick and is not buffered.
-    body_consumed: bool,
+    /// No further pick may begin: part of the body was sent with a pick and is not buffered, or it is not known
+    /// whether the client is still there.
+    attempts_stopped: bool,
 }
 
 impl RpcEntry {
@@ -105,7 +106,7 @@
         }
         let rpc = self.next;
         self.next = self.next.wrapping_add(1);
-        let (picks, finished, streaming, last_outcome, body_consumed) =
+        let (picks, finished, streaming, last_outcome, attempts_stopped) =
             (Vec::new(), false, None, None, false);
         let entry = RpcEntry {
             rpc,
@@ -115,7 +116,7 @@
             finished,
             streaming,
             last_outcome,
-            body_consumed,
+            attempts_stopped,
         };
         self.entries.insert(id, entry);
         self.ids.insert(rpc, id);
@@ -157,11 +158,18 @@
         Some(finished_rpc)
     }
 
+    /// Records that no pick may follow the one that has begun.
+    pub fn stop_attempts(&mut self, id: Id) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.attempts_stopped = true;
+        }
+    }
+
     /// Records that part of the body was read from the client for this pick. Time spent waiting for the
     /// client does not count as the node's latency.
     pub fn consume_body(&mut self, id: Id, pick: usize, waited: Duration) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
-        entry.body_consumed = true;
+        entry.attempts_stopped = true;
         if let Some((sent, _)) = entry.picks.get_mut(pick) {
             sent.at += waited;
         }
@@ -190,7 +198,7 @@
         }
         let streaming = entry.streaming == Some(pick);
         let sent = SentPick { picks: entry.picks.len(), ..sent };
-        let cannot_retry = entry.body_consumed && !entry.finished;
+        let cannot_retry = entry.attempts_stopped && !entry.finished;
         Some(PickEnd { rpc: entry.rpc, sent, is_final, streaming, done: entry.finished, cannot_retry })
     }
 
--- a/crates/marshal/src/services.rs
+++ b/crates/marshal/src/services.rs
@@ -202,6 +202,7 @@
             Input::AnswerBegan { id, .. }
             | Input::PickEnded { id, .. }
             | Input::BodyConsumed { id, .. }
+            | Input::AttemptsStopped { id }
             | Input::ClientLeft { id } => {
                 let instance_id = self.rpcs.get(&id).map_or(PRIMARY, |rpc| rpc.instance_id);
                 self.forward(now, instance_id, input, &mut outputs);
--- a/crates/marshal/tests/core.rs
+++ b/crates/marshal/tests/core.rs
@@ -212,6 +212,37 @@
     }
 }
 
+#[test]
+fn an_rpc_whose_attempts_were_stopped_is_answered_without_another_pick() {
+    let cases = [
+        ("calendar-read", Observation::NotAttempted, "pushed back"),
+        ("calendar-read", Observation::NotSent, "pushed back"),
+        ("calendar-read", Observation::Broken, "aborted"),
+        ("pickup-book", Observation::NotAttempted, "pushed back"),
+        ("pickup-book", Observation::Broken, "aborted"),
+        ("pickup-book", OK, "ok"),
+    ];
+    for (method, observation, answer) in cases {
+        let mut harness = Harness::new();
+        harness.rpc(1, method, 1000);
+        harness.handle(Input::AttemptsStopped { id: 1 });
+        assert!(harness.answers(1).is_empty(), "{method}: answered before its pick ended");
+        harness.end(1, 0, observation);
+        assert_eq!((harness.picks(1), harness.answers(1)), (1, vec![answer]), "{method}, {observation:?}");
+        harness.advance(1500);
+        assert_eq!(
+            (harness.answers(1).len(), harness.core.counts().held),
+            (1, 0),
+            "{method}, {observation:?}"
+        );
+    }
+    let mut harness = Harness::new();
+    harness.handle(Input::AttemptsStopped { id: 1 });
+    harness.rpc(1, "calendar-read", 1000);
+    harness.end(1, 0, OK);
+    assert_eq!(harness.answers(1), vec!["ok"], "an order for an RPC that was not there has no effect");
+}
+
 #[test]
 fn a_client_that_disconnects_has_its_pick_cancelled_and_gets_no_answer() {
     let mut harness = Harness::new();
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -25,6 +25,12 @@
 /// The part of the peers' memory, in quarters, that connections and incomplete messages may use.
 const INCOMPLETE_QUARTERS: usize = 3;
 
+/// The part of the peers' memory, in quarters, above which nothing is read ahead.
+const READ_AHEAD_QUARTERS: usize = 2;
+
+/// The most that is read ahead on one connection while an RPC of it is in progress.
+pub const MAX_READ_AHEAD_BYTES: usize = 128 * 1024;
+
 /// When room is short, at least this part of the peers' memory is freed at once, since each search for
 /// connections to close looks at all of them.
 const FREED_PART: usize = 16;
@@ -41,6 +47,8 @@
     Connection,
     /// A message that is being read, of this many bytes so far.
     IncompleteMessage(usize),
+    /// What a client sent behind its RPC in progress.
+    ReadAhead,
     /// An RPC in progress: its complete request, and the answer of its node.
     Rpc,
 }
@@ -52,6 +60,7 @@
         match self {
             MemoryUse::IncompleteMessage(bytes) if bytes <= SMALL_MESSAGE_BYTES => limit,
             MemoryUse::Connection | MemoryUse::IncompleteMessage(_) => limit / 4 * INCOMPLETE_QUARTERS,
+            MemoryUse::ReadAhead => limit / 4 * READ_AHEAD_QUARTERS,
             MemoryUse::Rpc => limit,
         }
     }
@@ -103,6 +112,8 @@
             }
             // A stranger's message closes no other connection than a stranger's.
             Need::Memory(MemoryUse::IncompleteMessage(_)) => ClosingClass::IncompleteOfKnown,
+            // Nobody loses a connection for it: what is not read ahead waits in the socket.
+            Need::Memory(MemoryUse::ReadAhead) => ClosingClass::Answered,
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod marshal;
 mod policy;
 pub mod port;
+pub mod presence;
 mod state;
 
 pub use marshal::Marshal;
--- a/crates/sockets/src/socket.rs
+++ b/crates/sockets/src/socket.rs
@@ -41,6 +41,8 @@
     handle: SocketHandle,
     read_timeout: Arc<ReadTimeout>,
     turn: Turn,
+    /// When the last wait for bytes ended.
+    waited_until: Instant,
 }
 
 /// Access to a connection for coroutines other than its owner. Has no effect once the owner has closed it.
@@ -114,6 +116,15 @@
         Some(call(SockRef::from(&fd)))
     }
 
+    /// Reads what is there without waiting; 0 bytes at the end of the stream. Only for while the owner does not
+    /// read, or the bytes would be out of order.
+    ///
+    /// # Errors
+    /// As the read fails; `WouldBlock` if nothing is there.
+    pub fn read_available(&self, buf: &mut [u8]) -> io::Result<usize> {
+        self.with_open(|socket| (&*socket).read(buf)).unwrap_or(Ok(0))
+    }
+
     /// Whether the connection is open and has no unread bytes, as an idle connection must.
     pub fn is_idle(&self) -> bool {
         let seen = self.with_open(|socket| socket.peek(&mut [MaybeUninit::uninit()]));
@@ -141,7 +152,8 @@
         let fd = Arc::new(Mutex::new(Some(stream.inner().as_raw_fd())));
         let handle = SocketHandle { fd, shut_down: Arc::default() };
         let read_timeout = ReadTimeout::new(stream.waker());
-        Socket { stream, handle, read_timeout, turn: Turn::new(TurnClass::Connection) }
+        let turn = Turn::new(TurnClass::Connection);
+        Socket { stream, handle, read_timeout, turn, waited_until: Instant::now() }
     }
 
     /// Opens a connection within the given time.
@@ -217,6 +229,7 @@
                     }
                     self.stream.wait_io();
                     self.turn.record_wait();
+                    self.waited_until = Instant::now();
                 }
                 done => {
                     self.turn.record_operation();
@@ -226,6 +239,17 @@
         }
     }
 
+    /// When the last wait for bytes ended: what was read since arrived later than the one before it. At first, when
+    /// the connection came.
+    pub fn waited_until(&self) -> Instant {
+        self.waited_until
+    }
+
+    /// Counts reads by others towards this connection's turn.
+    pub fn record_reads(&self, count: u32) {
+        (0..count).for_each(|_| self.turn.record_operation());
+    }
+
     /// Waits for this connection's next turn if the current one is used up. For loops that answer messages
     /// which have been read already; reads do this by themselves.
     pub fn wait_for_turn(&self) {
