--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -180,11 +180,11 @@
     }
 
     /// Whether the client left before its request, which was just read, is taken. The request may have waited
-    /// unread behind another one, or through a stall. From now on bytes after it may be read ahead.
+    /// unread behind another one, or while the process ran late. From now on bytes after it may be read ahead.
     fn client_left_before(&self, body_is_complete: bool) -> bool {
         self.client.open_read_ahead(body_is_complete);
         let waited_until = self.socket.waited_until();
-        if waited_until.elapsed() < PRESENCE_VALID_FOR && !self.edge.recently_stalled() {
+        if waited_until.elapsed() < PRESENCE_VALID_FOR && !self.edge.recently_delayed() {
             self.client.record_present(waited_until);
             return false;
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -53,6 +53,12 @@
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// If the timer coroutine wakes up this much too late, the process was stalled.
 const STALL_THRESHOLD: Duration = Duration::from_millis(300);
+/// If it wakes up this much too late, requests may have waited unread while their clients left.
+const DELAY_THRESHOLD: Duration = Duration::from_millis(50);
+/// What arrived during a delay is read within this time after it.
+const DELAY_READ_WITHIN: Duration = Duration::from_secs(1);
+/// The longest wait of the timer coroutine.
+const MAX_TICK_WAIT: Duration = Duration::from_millis(20);
 /// How long binding is retried while another process holds the address: longer than a stopping marshal lets
 /// clients connect.
 const BIND_RETRY: Duration = Duration::from_secs(2);
@@ -109,9 +115,10 @@
     /// Held while data from discovery or the rollout controller is passed to the core, and while their
     /// addresses change: nothing from an earlier address is passed on after a move.
     address_lock: Mutex<()>,
-    /// When a stall of the process was last detected, and when the timer coroutine last ran, in milliseconds
-    /// on the shell's clock.
+    /// When a stall or a delay of the process was last detected, and when the timer coroutine last ran, in
+    /// milliseconds on the shell's clock.
     last_stall_ms: AtomicU64,
+    last_delay_ms: AtomicU64,
     last_tick_ms: AtomicU64,
 }
 
@@ -194,10 +201,21 @@
     /// Whether the process was stalled a moment ago. Whichever coroutine wakes first must notice, so the time
     /// of the timer's last run counts as well as the stalls that the timer has detected.
     fn recently_stalled(&self) -> bool {
+        self.was_late(STALL_THRESHOLD, &self.last_stall_ms, Duration::from_secs(5))
+    }
+
+    /// Whether requests that are read now may have waited unread because the process ran late.
+    fn recently_delayed(&self) -> bool {
+        let threshold = MAX_TICK_WAIT + DELAY_THRESHOLD;
+        self.was_late(threshold, &self.last_delay_ms, DELAY_READ_WITHIN) || self.recently_stalled()
+    }
+
+    /// Whether the timer is late by more than `threshold` now, or was found to be at `last_late_ms`, less than
+    /// `within` ago.
+    fn was_late(&self, threshold: Duration, last_late_ms: &AtomicU64, within: Duration) -> bool {
         let at = |ms: &AtomicU64| Duration::from_millis(ms.load(Ordering::Relaxed));
-        let (last_stall, last_tick, now) = (at(&self.last_stall_ms), at(&self.last_tick_ms), self.now());
-        now > last_tick + STALL_THRESHOLD
-            || (!last_stall.is_zero() && now < last_stall + Duration::from_secs(5))
+        let (last_late, last_tick, now) = (at(last_late_ms), at(&self.last_tick_ms), self.now());
+        now > last_tick + threshold || (!last_late.is_zero() && now < last_late + within)
     }
 
     /// Registers an RPC as in progress and returns the core's first commands for it.
@@ -481,6 +499,7 @@
         shutdown_begun: AtomicBool::new(false),
         closing: AtomicBool::new(false),
         last_stall_ms: AtomicU64::new(0),
+        last_delay_ms: AtomicU64::new(0),
         last_tick_ms: AtomicU64::new(0),
         primary: services::HeldService::new(PRIMARY, None),
         held_services: services::HeldServices::default(),
@@ -522,12 +541,15 @@
 fn run_ticks(ticking: &Arc<Edge>) {
     loop {
         let due = ticking.core.lock().unwrap().next_tick();
-        let wait = due.saturating_sub(ticking.now()).min(Duration::from_millis(20));
+        let wait = due.saturating_sub(ticking.now()).min(MAX_TICK_WAIT);
         sleep(wait.max(Duration::from_micros(500)));
         // Measured from the last round, not the last pause: a stall may begin anywhere in a round.
         let (now, last_tick) =
             (ticking.now(), Duration::from_millis(ticking.last_tick_ms.load(Ordering::Relaxed)));
         let round = now.saturating_sub(last_tick);
+        if round > wait + DELAY_THRESHOLD {
+            ticking.last_delay_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+        }
         if round > wait + STALL_THRESHOLD {
             ticking.last_stall_ms.store(now.as_millis() as u64, Ordering::Relaxed);
             tracing::warn!(stood_ms = round.as_millis() as u64, "this process stood still");
--- a/crates/edge/tests/hard/departures.rs
+++ b/crates/edge/tests/hard/departures.rs
@@ -4,7 +4,10 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
+
 use crate::platform_scene::*;
+use crate::process::Process;
 use crate::scene::*;
 
 /// How long after a client's close an attempt for it may begin; each time limit is 50 ms longer on sockets.
@@ -237,6 +240,24 @@
     assert_eq!(received.iter().filter(|text| text.contains("returns")).count(), 1, "it ran twice");
 }
 
+/// Shorter than what counts as a stall elsewhere, and longer than an attempt may begin after a close.
+#[test]
+fn a_request_whose_client_left_during_a_short_stall_is_not_sent() {
+    let fine = healthy_node("fine");
+    let process = Process::on_platform("stalled", &start_platform(&[(fine.addr, 1)], &[]));
+    for number in 0..5 {
+        let before = fine.messages();
+        process.suspend();
+        let mut stream = connect(process.listen_addr);
+        write_text(&mut stream, &read_request(&format!("stalled-{number}")));
+        drop(stream);
+        std::thread::sleep(ms(200));
+        process.signal(Signal::SIGCONT);
+        std::thread::sleep(ms(300));
+        assert_eq!(fine.messages(), before, "it was sent 0.2 s after its client's close");
+    }
+}
+
 #[test]
 fn requests_that_wait_behind_a_slow_one_are_all_served() {
     let slow_first = node(Box::new(|nth, stream| {
