--- a/crates/edge/src/clients/caller.rs
+++ b/crates/edge/src/clients/caller.rs
@@ -1,7 +1,6 @@
 //! The client's side of an RPC while a pick is in progress.
 
 use std::io::ErrorKind;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -63,14 +62,6 @@
         BodyRead::Failed
     }
 
-    /// Goes on with what was read ahead before the body was asked for. From now on it is read here only.
-    fn take_read_ahead(&mut self) {
-        let taken = self.client.take_read_ahead();
-        self.held_bytes += taken.held_bytes;
-        self.client.held_bytes.fetch_add(taken.held_bytes, Ordering::Relaxed);
-        taken.append_to(self.buf);
-    }
-
     /// Tells the core that the pick has consumed body bytes, and how long it waited for them.
     pub fn report_body_read(&self, waited: Duration) {
         let (id, pick) = (self.id, self.pick);
@@ -81,7 +72,7 @@
 impl Caller for ConnectionCaller<'_> {
     fn read_body(&mut self, wait: Duration) -> BodyRead {
         let began = Instant::now();
-        self.take_read_ahead();
+        self.client.close_read_ahead();
         if began >= self.remaining.deadline {
             return self.stop(ReadError::Refused(TOO_SLOW));
         }
@@ -102,6 +93,10 @@
                 }
                 Ok(Part::End) => break BodyRead::End,
                 Ok(Part::Incomplete) => {
+                    if let Some(block) = self.edge.take_read_ahead(self.client) {
+                        self.buf.extend_from_slice(&block);
+                        continue;
+                    }
                     let mut chunk = [0; 8192];
                     match self.socket.read(&mut chunk, Some((began + wait).min(self.remaining.deadline))) {
                         Ok(n) if n > 0 => self.buf.extend_from_slice(&chunk[..n]),
--- a/crates/edge/src/clients/memory.rs
+++ b/crates/edge/src/clients/memory.rs
@@ -92,6 +92,11 @@
         true
     }
 
+    /// Releases this many bytes that [`PeerMemory::grow`] held.
+    pub(super) fn shrink(&self, bytes: usize) {
+        self.used.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     /// Holds this many bytes more. Returns false, and changes nothing, if that is more than there is for this use.
     pub(super) fn grow(&self, bytes: usize, memory_use: MemoryUse) -> bool {
         let bound = memory_use.bound(self.limit());
--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -75,7 +75,7 @@
     let mut connection =
         Connection { edge, client: &client, socket, buf: Vec::new(), message_bytes: 0, is_usual: false };
     let may_be_in_transit = connection.run();
-    connection.take_read_ahead();
+    edge.discard_read_ahead(&client);
     if connection.is_usual {
         edge.usual_connections.fetch_sub(1, Ordering::Relaxed);
     }
@@ -170,7 +170,7 @@
             };
             let served = self.serve_rpc(request, body, remaining, time_left, keep);
             drop(claim);
-            self.take_read_ahead();
+            self.socket.record_reads(self.client.close_read_ahead());
             match served {
                 Served::KeepAlive if keep => {}
                 Served::KeepAlive | Served::Close => return true,
--- a/crates/edge/src/clients/read_ahead.rs
+++ b/crates/edge/src/clients/read_ahead.rs
@@ -4,6 +4,7 @@
 //! so it is read ahead, within the limits of [`ivydrift_policy::admission`]. What was read ahead is served after
 //! the RPC in progress.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -15,56 +16,38 @@
 
 use super::Client;
 use crate::Edge;
-use ivydrift_sockets::{PeerState, Turn, TurnClass};
+use ivydrift_sockets::{PeerState, SocketHandle, Turn, TurnClass};
 
-/// Bytes of one read.
-const READ_BYTES: usize = 4096;
+/// Bytes of one block that is read ahead. Blocks of one size leave no gaps behind in the heap.
+const BLOCK_BYTES: usize = 4096;
 
-/// What was read on a connection behind its RPC in progress.
+/// The most blocks of one connection.
+const MAX_BLOCKS: usize = MAX_READ_AHEAD_BYTES / BLOCK_BYTES;
+
+/// What was read on a connection behind its RPC in progress, and not yet gone on with.
 #[derive(Default)]
 pub struct ReadAhead {
     /// An RPC is in progress and its coroutine does not read.
     open: bool,
     /// The RPC's body is complete, so what is read belongs to the messages after it.
     body_is_complete: bool,
-    bytes: Vec<u8>,
-    /// Memory held for `bytes`.
-    held_bytes: usize,
+    blocks: VecDeque<Vec<u8>>,
     /// Reads since the RPC began.
     reads: u32,
 }
 
-/// What was read ahead, for the connection to go on with.
-pub struct TakenBytes {
-    pub bytes: Vec<u8>,
-    /// Memory held for them, which is now the connection's to release.
-    pub held_bytes: usize,
-    pub reads: u32,
-}
-
-impl TakenBytes {
-    /// Appends them to what the connection has read itself.
-    pub fn append_to(self, buffer: &mut Vec<u8>) {
-        if buffer.is_empty() && !self.bytes.is_empty() {
-            *buffer = self.bytes;
-        } else {
-            buffer.reserve_exact(self.bytes.len());
-            buffer.extend_from_slice(&self.bytes);
-        }
-    }
-}
-
 impl Client {
-    /// Allows reading ahead, as the connection's coroutine does not read until it takes the bytes.
+    /// Allows reading ahead, as the connection's coroutine does not read until it ends this.
     pub(crate) fn open_read_ahead(&self, body_is_complete: bool) {
         let mut read_ahead = self.read_ahead.lock().unwrap();
         (read_ahead.open, read_ahead.body_is_complete) = (true, body_is_complete);
     }
 
-    /// Ends the reading ahead and returns what was read.
-    pub(crate) fn take_read_ahead(&self) -> TakenBytes {
-        let taken = std::mem::take(&mut *self.read_ahead.lock().unwrap());
-        TakenBytes { bytes: taken.bytes, held_bytes: taken.held_bytes, reads: taken.reads }
+    /// Ends the reading ahead. Returns the number of reads since it was allowed.
+    pub(crate) fn close_read_ahead(&self) -> u32 {
+        let mut read_ahead = self.read_ahead.lock().unwrap();
+        read_ahead.open = false;
+        std::mem::take(&mut read_ahead.reads)
     }
 
     /// Reads since the RPC in progress began.
@@ -106,12 +89,12 @@
             // The connection's coroutine reads, and so finds the end by itself.
             return Presence::Present;
         }
-        let mut chunk = [0; READ_BYTES];
-        while self.reserve_read_ahead(&mut read_ahead) {
+        while self.reserve_block(&mut read_ahead) {
             read_ahead.reads += 1;
-            match client.socket_handle.read_available(&mut chunk) {
+            let Some(block) = read_ahead.blocks.back_mut() else { break };
+            match read_into_block(&client.socket_handle, block) {
                 Ok(0) => return Presence::Gone,
-                Ok(n) => read_ahead.bytes.extend_from_slice(&chunk[..n]),
+                Ok(_) => {}
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     client.record_present(Instant::now());
@@ -123,22 +106,33 @@
         Presence::Unknown
     }
 
-    /// Makes room for one more read. Returns false if no more may be held.
-    fn reserve_read_ahead(&self, read_ahead: &mut ReadAhead) -> bool {
-        let (length, capacity) = (read_ahead.bytes.len(), read_ahead.bytes.capacity());
-        if length + READ_BYTES <= capacity {
+    /// Makes room for one more read in the last block. Returns false if no more may be held.
+    fn reserve_block(&self, read_ahead: &mut ReadAhead) -> bool {
+        if read_ahead.blocks.back().is_some_and(|block| block.len() < BLOCK_BYTES) {
             return true;
         }
-        let wanted = (2 * capacity).clamp(READ_BYTES, MAX_READ_AHEAD_BYTES);
-        let has_room = length + READ_BYTES <= wanted
-            && self.peer_memory.grow(wanted - read_ahead.held_bytes, MemoryUse::ReadAhead);
+        let has_room =
+            read_ahead.blocks.len() < MAX_BLOCKS && self.peer_memory.grow(BLOCK_BYTES, MemoryUse::ReadAhead);
         if has_room {
-            read_ahead.held_bytes = wanted;
-            read_ahead.bytes.reserve_exact(wanted - length);
+            read_ahead.blocks.push_back(Vec::with_capacity(BLOCK_BYTES));
         }
         has_room
     }
 
+    /// Takes the next block that was read ahead, which is what the connection has to go on with before it reads.
+    pub(super) fn take_read_ahead(&self, client: &Client) -> Option<Vec<u8>> {
+        let block = client.read_ahead.lock().unwrap().blocks.pop_front()?;
+        self.peer_memory.shrink(BLOCK_BYTES);
+        // A block is empty if nothing came after room was made for it.
+        Some(block).filter(|block| !block.is_empty())
+    }
+
+    /// Discards what was read ahead.
+    pub(super) fn discard_read_ahead(&self, client: &Client) {
+        client.close_read_ahead();
+        while self.take_read_ahead(client).is_some() {}
+    }
+
     /// What becomes of an attempt for this client that is about to begin.
     pub(crate) fn decide_attempt(&self, id: Id, client: &Client) -> AttemptDecision {
         if client.disconnected.load(Ordering::Acquire) {
@@ -207,3 +201,12 @@
         }
     }
 }
+
+/// Reads what is there into the rest of a block without waiting. Returns the number of bytes.
+fn read_into_block(socket_handle: &SocketHandle, block: &mut Vec<u8>) -> std::io::Result<usize> {
+    let length = block.len();
+    block.resize(BLOCK_BYTES, 0);
+    let read = socket_handle.read_available(&mut block[length..]);
+    block.truncate(length + read.as_ref().map_or(0, |n| *n));
+    read
+}
--- a/crates/edge/src/clients/reading.rs
+++ b/crates/edge/src/clients/reading.rs
@@ -1,7 +1,6 @@
 //! Reads requests from a client connection, within the limits on their size, time and memory.
 
 use std::io::ErrorKind;
-use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use ivydrift_policy::admission::MemoryUse;
@@ -40,15 +39,6 @@
         Ok(())
     }
 
-    /// Goes on with what was read ahead while the last RPC was in progress.
-    pub(super) fn take_read_ahead(&mut self) {
-        let taken = self.client.take_read_ahead();
-        self.socket.record_reads(taken.reads);
-        // The memory that is held for the bytes is the connection's from now on.
-        self.client.held_bytes.fetch_add(taken.held_bytes, Ordering::Relaxed);
-        taken.append_to(&mut self.buf);
-    }
-
     /// Releases what was held for the last message.
     pub(super) fn release_message(&mut self) {
         self.message_bytes = 0;
@@ -62,19 +52,27 @@
 
     /// Reads more bytes before `deadline`. The error is `on_timeout` if none have come until then.
     fn read_more(&mut self, deadline: Instant, on_timeout: ReadError) -> Result<(), ReadError> {
+        if let Some(block) = self.edge.take_read_ahead(self.client) {
+            return self.append(&block);
+        }
         let mut chunk = [0; READ_BYTES];
-        let n = match self.socket.read(&mut chunk, Some(deadline)) {
-            Ok(n) if n > 0 => n,
-            Err(e) if e.kind() == ErrorKind::TimedOut => return Err(on_timeout),
-            _ => return Err(ReadError::Closed),
-        };
+        match self.socket.read(&mut chunk, Some(deadline)) {
+            Ok(n) if n > 0 => self.append(&chunk[..n]),
+            Err(e) if e.kind() == ErrorKind::TimedOut => Err(on_timeout),
+            _ => Err(ReadError::Closed),
+        }
+    }
+
+    /// Appends bytes to the buffer.
+    fn append(&mut self, bytes: &[u8]) -> Result<(), ReadError> {
         let (length, capacity) = (self.buf.len(), self.buf.capacity());
-        if length + n > capacity {
-            let capacity = grown_capacity(capacity.max(READ_BYTES / 2), length + n, http::MAX_HEAD_BYTES);
+        let needed = length + bytes.len();
+        if needed > capacity {
+            let capacity = grown_capacity(capacity.max(READ_BYTES / 2), needed, http::MAX_HEAD_BYTES);
             self.hold_message(self.message_bytes, capacity)?;
             self.buf.reserve_exact(capacity - length);
         }
-        self.buf.extend_from_slice(&chunk[..n]);
+        self.buf.extend_from_slice(bytes);
         Ok(())
     }
 
--- a/crates/edge/tests/strangers/floods.rs
+++ b/crates/edge/tests/strangers/floods.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::memory::{anonymous_kib, start_with_limits};
 use crate::platform_scene::*;
 use crate::process::Process;
 use crate::run_alone;
@@ -91,6 +92,71 @@
     ends
 }
 
+/// Sends numbered messages at full speed and reads what comes back, on a new connection where one has ended.
+fn flood_numbered(to: SocketAddr, message: fn(usize) -> String, until: Instant) {
+    let (mut number, mut answers) = (0, [0; 1 << 16]);
+    while Instant::now() < until {
+        let mut stream = connect(to);
+        stream.set_nonblocking(true).unwrap();
+        let mut unsent = Vec::new();
+        while Instant::now() < until {
+            if unsent.is_empty() {
+                unsent = (0..200).map(|part| message(number + part)).collect::<String>().into_bytes();
+                number += 200;
+            }
+            match stream.write(&unsent) {
+                Ok(n) => drop(unsent.drain(..n)),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => std::thread::sleep(Duration::from_micros(50)),
+                Err(_) => break,
+            }
+            match stream.read(&mut answers) {
+                Ok(n) if n > 0 => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                _ => break,
+            }
+        }
+    }
+}
+
+/// Messages under ever new names, by their number: RPCs, unknown classes, tenants, unsound requests, and requests
+/// that are rejected.
+const NAMED_MESSAGES: [fn(usize) -> String; 5] = [
+    |n| format!("GET /calendar-read HTTP/1.1\r\nX-Request-ID: {n:0>128}\r\nX-Timeout-Ms: 2000\r\n\r\n"),
+    |n| format!("GET /class-{n} HTTP/1.1\r\nX-Request-ID: c{n}\r\nX-Timeout-Ms: 2000\r\n\r\n"),
+    |n| {
+        let tenant = format!("X-Tenant-Id: tenant-{n}\r\nX-Field-{n}: {n}\r\n");
+        format!("GET /calendar-read/{n} HTTP/1.1\r\nX-Request-ID: t{n}\r\nX-Timeout-Ms: 2000\r\n{tenant}\r\n")
+    },
+    |n| format!("GET /calendar-read HTTP/1.1\r\nX-Request-ID: u{n}\r\nX-Timeout-Ms: soon-{n}\r\n\r\n"),
+    |n| {
+        format!("POST /pickup-book HTTP/1.1\r\nX-Request-ID: z{n}\r\nX-Timeout-Ms: 0\r\nContent-Length: 1\r\n\r\n{}", n % 10)
+    },
+];
+
+/// Guards against names that are kept without end, and against one connection that keeps the worker.
+#[test]
+fn messages_under_ever_new_names_at_full_speed_leave_the_worker_and_the_memory_to_others() {
+    let _alone = run_alone();
+    let fine = healthy_node("fine");
+    let platform = start_platform(&[(fine.addr, 1)], &[]);
+    for (shape, message) in NAMED_MESSAGES.into_iter().enumerate() {
+        let marshal = start_with_limits(&platform, (32, 256));
+        let (to, until) = (marshal.listen_addr, Instant::now() + FLOOD);
+        let flood = std::thread::spawn(move || flood_numbered(to, message, until));
+        let usual = std::thread::spawn(move || run_usual_client(to, "usual", until));
+        let mut most_kib = 0;
+        while Instant::now() < until {
+            most_kib = most_kib.max(anonymous_kib(marshal.child.id()));
+            std::thread::sleep(ms(10));
+        }
+        flood.join().unwrap();
+        let service = usual.join().unwrap_or_else(|_| panic!("shape {shape}: a usual client was not served"));
+        eprintln!("shape {shape}: {most_kib} KiB, {} served, longest {:?}", service.served, service.longest);
+        assert!(most_kib <= 32 * 1024, "shape {shape}: {most_kib} KiB");
+        assert!(service.longest < ms(1000), "shape {shape}: an RPC took {:?}", service.longest);
+    }
+}
+
 /// Guards against empty lines that count towards no limit and keep the worker for as long as they come.
 #[test]
 fn a_client_that_sends_empty_lines_at_full_speed_is_refused_and_others_are_served() {
