--- a/crates/edge/src/races.rs
+++ b/crates/edge/src/races.rs
@@ -49,7 +49,7 @@
     }
 }
 
-fn native() -> (Arc<Edge>, Listener) {
+pub(crate) fn native() -> (Arc<Edge>, Listener) {
     edge(|_| {}, Dialect::Native)
 }
 
@@ -62,7 +62,7 @@
 }
 
 /// A client's stream, and the marshal's end of that connection, which no coroutine serves yet.
-fn accepted_pair(listener: &Listener) -> (TcpStream, Socket) {
+pub(crate) fn accepted_pair(listener: &Listener) -> (TcpStream, Socket) {
     let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     stream.set_read_timeout(Some(ms(4000))).unwrap();
     loop {
