--- a/crates/edge/src/clients/serve.rs
+++ b/crates/edge/src/clients/serve.rs
@@ -1,10 +1,11 @@
 //! Serves one RPC of a client connection, from the request to its one final answer.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use ivydrift_marshal::{Command, Input, Observation};
+use ivydrift_marshal::{Command, Id, Input, Observation};
 use ivydrift_policy::presence::AttemptDecision;
 use ivydrift_wire::http::{HeadWriter, Request};
 
@@ -13,6 +14,27 @@
 use crate::exchange::{Answer, OutgoingRequest, Pick};
 use crate::guard::Attempt;
 
+/// A pick as the core ordered it.
+struct PickOrder {
+    id: Id,
+    pick: usize,
+    node: SocketAddr,
+    deadline: Instant,
+    careful: bool,
+}
+
+/// How a pick ended.
+struct EndedPick {
+    /// Its answer, buffered.
+    answer: Option<Answer>,
+    /// The core's commands since it began.
+    commands: Vec<Command>,
+    /// Its answer was streamed to the client.
+    streamed: bool,
+    /// The node's answer was complete.
+    complete: bool,
+}
+
 impl Connection<'_> {
     /// Carries one RPC to its final answer.
     pub(super) fn serve_rpc(
@@ -68,58 +90,14 @@
             }
             match command {
                 Command::Pick { pick, node, by, careful, .. } => {
-                    client.begin_pick(id, pick);
-                    let deadline = edge.instant(by);
-                    let (connect_timeout, pool, dialect) =
-                        (edge.limits().connect_timeout, &edge.pool, &edge.dialect);
-                    let admission = Attempt { edge, client, id, node, deadline };
-                    let attempt = Pick {
-                        node,
-                        deadline,
-                        careful,
-                        connect_timeout,
-                        pool,
-                        dialect,
-                        admission: &admission,
-                    };
                     let held_answer = buffered.as_ref().map_or(0, |(_, answer)| answer.held_bytes());
-                    let held_bytes = self.buffer_bytes() + held_answer;
-                    let (socket, buf, remaining) = (&mut self.socket, &mut self.buf, &mut remaining);
-                    let mut caller = ConnectionCaller {
-                        edge,
-                        client,
-                        held_bytes,
-                        socket,
-                        buf,
-                        remaining,
-                        id,
-                        pick,
-                        keep_alive,
-                        commands: vec![],
-                        streaming: false,
-                    };
-                    let (mut observation, answer) = attempt.run(&outgoing, &**client, &mut caller);
-                    let waited = std::mem::take(&mut caller.remaining.waited);
-                    if caller.remaining.streamed > 0 {
-                        caller.report_body_read(waited);
-                    }
-                    let streaming = caller.streaming;
-                    if caller.remaining.failure.is_some()
-                        || matches!(observation, Observation::Cancelled) && streaming
-                    {
-                        edge.dispatch(Input::ClientLeft { id }, id);
-                    }
-                    commands.extend(caller.commands);
-                    client.end_pick();
-                    if client.disconnected.load(Ordering::Acquire) && answer.is_none() {
-                        observation = Observation::Cancelled;
-                    }
-                    buffered = answer.map(|a| (pick, a)).or(buffered);
-                    commands.extend(edge.dispatch(Input::PickEnded { id, pick, observation }, id));
-                    if streaming {
+                    let order = PickOrder { id, pick, node, deadline: edge.instant(by), careful };
+                    let ended = self.run_pick(&order, &outgoing, &mut remaining, held_answer, keep_alive);
+                    buffered = ended.answer.map(|answer| (pick, answer)).or(buffered);
+                    commands.extend(ended.commands);
+                    if ended.streamed {
                         answered = true;
-                        let complete = matches!(observation, Observation::Answer { .. });
-                        break complete;
+                        break ended.complete;
                     }
                     if remaining.failure.is_some() {
                         break false;
@@ -181,6 +159,58 @@
         }
     }
 
+    /// Carries out one pick and tells the core how it ended. `held_answer`: memory held for an earlier pick's
+    /// answer, in bytes.
+    fn run_pick(
+        &mut self, order: &PickOrder, outgoing: &OutgoingRequest, remaining: &mut RemainingBody,
+        held_answer: usize, keep_alive: bool,
+    ) -> EndedPick {
+        let (edge, client) = (self.edge, self.client);
+        let &PickOrder { id, pick, node, deadline, careful } = order;
+        client.begin_pick(id, pick);
+        let admission = Attempt { edge, client, id, node, deadline };
+        let attempt = Pick {
+            node,
+            deadline,
+            careful,
+            connect_timeout: edge.limits().connect_timeout,
+            pool: &edge.pool,
+            dialect: &edge.dialect,
+            admission: &admission,
+        };
+        let held_bytes = self.buffer_bytes() + held_answer;
+        let mut caller = ConnectionCaller {
+            edge,
+            client,
+            held_bytes,
+            socket: &mut self.socket,
+            buf: &mut self.buf,
+            remaining,
+            id,
+            pick,
+            keep_alive,
+            commands: vec![],
+            streaming: false,
+        };
+        let (mut observation, answer) = attempt.run(outgoing, &**client, &mut caller);
+        let waited = std::mem::take(&mut caller.remaining.waited);
+        if caller.remaining.streamed > 0 {
+            caller.report_body_read(waited);
+        }
+        let streamed = caller.streaming;
+        if caller.remaining.failure.is_some() || matches!(observation, Observation::Cancelled) && streamed {
+            edge.dispatch(Input::ClientLeft { id }, id);
+        }
+        let mut commands = caller.commands;
+        client.end_pick();
+        if client.disconnected.load(Ordering::Acquire) && answer.is_none() {
+            observation = Observation::Cancelled;
+        }
+        commands.extend(edge.dispatch(Input::PickEnded { id, pick, observation }, id));
+        let complete = matches!(observation, Observation::Answer { .. });
+        EndedPick { answer, commands, streamed, complete }
+    }
+
     /// Writes a short text answer. Returns false if the client did not accept it.
     pub(super) fn write_answer(&self, head: HeadWriter, text: &str, keep_open: bool) -> bool {
         let mut head = head.field("content-length", text.len().to_string());
