--- a/crates/edge/src/clients/client.rs
+++ b/crates/edge/src/clients/client.rs
@@ -38,6 +38,8 @@
     pub(super) read_ahead: Mutex<ReadAhead>,
     /// When the client was last seen to be there, in milliseconds after `accepted_at`.
     pub(super) present_at_ms: AtomicU64,
+    /// When an answer was last written to it.
+    pub(super) answered_at: Mutex<Option<Instant>>,
     mailbox: Mutex<Mailbox>,
     /// Posted for each entry of the mailbox.
     pub(super) wake: Semphore,
@@ -110,6 +112,7 @@
             awaits_memory: AtomicBool::new(false),
             read_ahead: Mutex::default(),
             present_at_ms: AtomicU64::new(0),
+            answered_at: Mutex::default(),
             mailbox: Mutex::default(),
             wake: Semphore::new(0),
             current: Mutex::default(),
--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -172,7 +172,7 @@
             drop(claim);
             self.socket.record_reads(self.client.close_read_ahead());
             match served {
-                Served::KeepAlive if keep => {}
+                Served::KeepAlive if keep => self.client.record_answer(),
                 Served::KeepAlive | Served::Close => return true,
                 Served::Refuse(error) => return self.refuse(error),
             }
--- a/crates/edge/src/clients/read_ahead.rs
+++ b/crates/edge/src/clients/read_ahead.rs
@@ -12,10 +12,13 @@
 
 use ivydrift_marshal::{Command, Id, Input, Observation};
 use ivydrift_policy::admission::{MemoryUse, MAX_READ_AHEAD_BYTES};
-use ivydrift_policy::presence::{decide_attempt, AttemptDecision, Presence, PRESENCE_VALID_FOR};
+use ivydrift_policy::presence::{
+    decide_attempt, wait_for_reset, AttemptDecision, Presence, PRESENCE_VALID_FOR,
+};
 
 use super::Client;
 use crate::Edge;
+use ivydrift_sockets::coroutine::sleep;
 use ivydrift_sockets::{PeerState, SocketHandle, Turn, TurnClass};
 
 /// Bytes of one block that is read ahead. Blocks of one size leave no gaps behind in the heap.
@@ -55,6 +58,11 @@
         self.read_ahead.lock().unwrap().reads
     }
 
+    /// Records that an answer was written.
+    pub(super) fn record_answer(&self) {
+        *self.answered_at.lock().unwrap() = Some(Instant::now());
+    }
+
     /// Records that the client was there at this time.
     pub(crate) fn record_present(&self, at: Instant) {
         let ms = at.saturating_duration_since(self.accepted_at).as_millis() as u64;
@@ -141,13 +149,28 @@
         if client.was_just_present() {
             return AttemptDecision::Begin;
         }
-        let presence = self.look_for(client);
+        let presence = match self.look_for(client) {
+            Presence::Unknown => self.presence_by_answer(client),
+            known => known,
+        };
         let body_is_complete = client.read_ahead.lock().unwrap().body_is_complete;
         let decision = decide_attempt(presence, body_is_complete);
         self.guard.record_decision(id, decision);
         decision
     }
 
+    /// What the last answer on this connection shows of a client whose close could not arrive.
+    fn presence_by_answer(&self, client: &Client) -> Presence {
+        let Some(answered_at) = *client.answered_at.lock().unwrap() else { return Presence::Unknown };
+        let Some(wait) = wait_for_reset(answered_at.elapsed()) else { return Presence::Unknown };
+        sleep(wait);
+        if client.socket_handle.peer_closed() {
+            return Presence::Gone;
+        }
+        client.record_present(answered_at);
+        Presence::Present
+    }
+
     /// Ends an RPC of which a pick was ordered that may not begin. Returns the commands that follow.
     pub(crate) fn refuse_attempt(self: &Arc<Self>, id: Id, pick: usize) -> Vec<Command> {
         self.dispatch(Input::AttemptsStopped { id }, id);
