--- a/crates/edge/src/clients/mod.rs
+++ b/crates/edge/src/clients/mod.rs
@@ -183,8 +183,9 @@
     /// unread behind another one, or while the process ran late. From now on bytes after it may be read ahead.
     fn client_left_before(&self, body_is_complete: bool) -> bool {
         self.client.open_read_ahead(body_is_complete);
-        let waited_until = self.socket.waited_until();
-        if waited_until.elapsed() < PRESENCE_VALID_FOR && !self.edge.recently_delayed() {
+        let (waited_until, now) = (self.socket.waited_until(), Instant::now());
+        let just_arrived = now.saturating_duration_since(waited_until) < PRESENCE_VALID_FOR;
+        if just_arrived && !self.edge.recently_delayed(now) {
             self.client.record_present(waited_until);
             return false;
         }
--- a/crates/edge/src/clients/read_ahead.rs
+++ b/crates/edge/src/clients/read_ahead.rs
@@ -70,8 +70,8 @@
     }
 
     /// Whether the client was seen to be there a moment ago.
-    fn was_just_present(&self) -> bool {
-        let ms = self.accepted_at.elapsed().as_millis() as u64;
+    fn was_just_present(&self, now: Instant) -> bool {
+        let ms = now.saturating_duration_since(self.accepted_at).as_millis() as u64;
         let seen_before_ms = ms.saturating_sub(self.present_at_ms.load(Ordering::Relaxed));
         seen_before_ms < PRESENCE_VALID_FOR.as_millis() as u64
     }
@@ -142,11 +142,11 @@
     }
 
     /// What becomes of an attempt for this client that is about to begin.
-    pub(crate) fn decide_attempt(&self, id: Id, client: &Client) -> AttemptDecision {
+    pub(crate) fn decide_attempt(&self, id: Id, client: &Client, now: Instant) -> AttemptDecision {
         if client.disconnected.load(Ordering::Acquire) {
             return AttemptDecision::Drop;
         }
-        if client.was_just_present() {
+        if client.was_just_present(now) {
             return AttemptDecision::Begin;
         }
         let presence = match self.look_for(client) {
--- a/crates/edge/src/clients/serve.rs
+++ b/crates/edge/src/clients/serve.rs
@@ -75,7 +75,7 @@
             keep_open =
                 keep_alive && remaining.decoder.is_complete() && !edge.stopping() && !edge.is_crowded();
             if let Command::Pick { pick, .. } = command {
-                match edge.decide_attempt(id, client) {
+                match edge.decide_attempt(id, client, Instant::now()) {
                     AttemptDecision::Begin => {}
                     AttemptDecision::Refuse => {
                         commands.extend(edge.refuse_attempt(id, pick));
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -145,7 +145,7 @@
 pub trait Admission {
     /// Called once the connection is established, right before the first byte is written. Returns false if
     /// nothing may be sent.
-    fn admit(&self) -> bool;
+    fn admit(&self, now: Instant) -> bool;
     /// Called after the request was written; `write_began` was taken right before its first byte.
     fn sent(&self, write_began: Instant);
 }
@@ -196,7 +196,7 @@
         }
         let head = rpc.head_bytes(self.dialect, self.node, left);
         let body = rpc.framed_body();
-        if !self.admission.admit() {
+        if !self.admission.admit(write_began) {
             return (Observation::NotAttempted, None);
         }
         let written = socket.write_message(head, &body, deadline);
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -103,9 +103,9 @@
 }
 
 impl Admission for Attempt<'_> {
-    fn admit(&self) -> bool {
+    fn admit(&self, now: Instant) -> bool {
         let edge = self.edge;
-        if edge.decide_attempt(self.id, self.client) != AttemptDecision::Begin {
+        if edge.decide_attempt(self.id, self.client, now) != AttemptDecision::Begin {
             return false;
         }
         let withheld = edge.core.lock().unwrap().may_send(edge.now(), self.id, self.node).err();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -55,6 +55,8 @@
 const STALL_THRESHOLD: Duration = Duration::from_millis(300);
 /// If it wakes up this much too late, requests may have waited unread while their clients left.
 const DELAY_THRESHOLD: Duration = Duration::from_millis(50);
+/// What arrived during a stall is read within this time after it.
+const STALL_READ_WITHIN: Duration = Duration::from_secs(5);
 /// What arrived during a delay is read within this time after it.
 const DELAY_READ_WITHIN: Duration = Duration::from_secs(1);
 /// The longest wait of the timer coroutine.
@@ -201,20 +203,27 @@
     /// Whether the process was stalled a moment ago. Whichever coroutine wakes first must notice, so the time
     /// of the timer's last run counts as well as the stalls that the timer has detected.
     fn recently_stalled(&self) -> bool {
-        self.was_late(STALL_THRESHOLD, &self.last_stall_ms, Duration::from_secs(5))
+        self.was_late(Instant::now(), STALL_THRESHOLD, &self.last_stall_ms, STALL_READ_WITHIN)
     }
 
     /// Whether requests that are read now may have waited unread because the process ran late.
-    fn recently_delayed(&self) -> bool {
+    fn recently_delayed(&self, now: Instant) -> bool {
         let threshold = MAX_TICK_WAIT + DELAY_THRESHOLD;
-        self.was_late(threshold, &self.last_delay_ms, DELAY_READ_WITHIN) || self.recently_stalled()
+        self.was_late(now, threshold, &self.last_delay_ms, DELAY_READ_WITHIN)
+            || self.was_late(now, STALL_THRESHOLD, &self.last_stall_ms, STALL_READ_WITHIN)
     }
 
     /// Whether the timer is late by more than `threshold` now, or was found to be at `last_late_ms`, less than
     /// `within` ago.
-    fn was_late(&self, threshold: Duration, last_late_ms: &AtomicU64, within: Duration) -> bool {
+    fn was_late(
+        &self, now: Instant, threshold: Duration, last_late_ms: &AtomicU64, within: Duration,
+    ) -> bool {
         let at = |ms: &AtomicU64| Duration::from_millis(ms.load(Ordering::Relaxed));
-        let (last_late, last_tick, now) = (at(last_late_ms), at(&self.last_tick_ms), self.now());
+        let (last_late, last_tick, now) = (
+            at(last_late_ms),
+            at(&self.last_tick_ms),
+            CLOCK_OFFSET + now.saturating_duration_since(self.started),
+        );
         now > last_tick + threshold || (!last_late.is_zero() && now < last_late + within)
     }
 
--- a/crates/edge/src/races.rs
+++ b/crates/edge/src/races.rs
@@ -251,7 +251,7 @@
     let (_stream, socket) = accepted_pair(&listener);
     let client = Client::new(socket.handle());
     assert!(
-        Attempt { edge: &edge, client: &client, id: 1, node, deadline }.admit(),
+        Attempt { edge: &edge, client: &client, id: 1, node, deadline }.admit(Instant::now()),
         "an attempt at a ready node must be admitted"
     );
     edge.dispatch(Input::NodeList(&[listed(node, State::Draining)]), 0);
